--- /dev/null
+++ b/onyxwick/__init__.py
@@ -0,0 +1,5 @@
+"""onyxwick: the decisions of a request router, as a library without clock or I/O."""
+
+from onyxwick.logic import Router
+
+__all__ = ["Router"]
--- a/brassfork/drill.py
+++ b/onyxwick/drill.py
@@ -1,6 +1,6 @@
 """The adapter: the simulator's wire to events, actions to the wire. It holds no decisions.
 
-Run as `python -m brassfork.drill`; it reads batches on standard input and writes one reply to each.
+Run as `python -m onyxwick.drill`; it reads batches on standard input and writes one reply to each.
 """
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import TextIO, TypeVar
 
-from brassfork import interface as i
-from brassfork.logic import Router
+from onyxwick import interface as i
+from onyxwick.logic import Router
 
 STATUS = {
     "100": i.Status.OK,
@@ -365,7 +365,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"brassfork.drill: {error}", file=sys.stderr)
+        print(f"onyxwick.drill: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/brassfork/interface.py
+++ b/onyxwick/interface.py
@@ -1,4 +1,4 @@
-"""The types that brassfork's decisions are spoken in: settings, events and actions. Types only.
+"""The types that onyxwick's decisions are spoken in: settings, events and actions. Types only.
 
 All times are whole microseconds of the caller's clock. A *member* is anything on the list that can
 take attempts or fills: a cache, a parent (the tier behind the caches) or the origin.
--- a/brassfork/logic.py
+++ b/onyxwick/logic.py
@@ -1,4 +1,4 @@
-"""All decisions of the request router. The types spoken here are in brassfork/interface.py.
+"""All decisions of the request router. The types spoken here are in onyxwick/interface.py.
 
 The mechanism is Adapt-L's online part: each router ranks objects by its own windowed counts into gold
 (kept, top rank), silver (kept, lowest rank) and bronze (passed through unkept); the cache and the parent
@@ -15,7 +15,7 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-from brassfork import interface as i
+from onyxwick import interface as i
 
 S = 1_000_000  # microseconds in a second
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -25,7 +25,7 @@
 
 def drill(*lines: str, seed: str = "0") -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "brassfork.drill"],
+        [sys.executable, "-m", "onyxwick.drill"],
         input="\n".join(lines) + "\n",
         cwd=ROOT,
         capture_output=True,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from brassfork import interface as i
+from onyxwick import interface as i
 from tests.world import CACHES, ORIGIN, PARENTS, SETTINGS, S, World, fetched, finals, member, sent
 
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-TEXT = (ROOT / "brassfork" / "logic.py").read_text()
+TEXT = (ROOT / "onyxwick" / "logic.py").read_text()
 
 
 def test_line_limits() -> None:
@@ -18,7 +18,7 @@
 
 
 def test_names_the_interface_first() -> None:
-    assert "brassfork/interface.py" in TEXT.split('"""')[1].split("\n\n")[0]
+    assert "onyxwick/interface.py" in TEXT.split('"""')[1].split("\n\n")[0]
 
 
 def test_is_pure() -> None:
--- a/tests/test_odd_orders.py
+++ b/tests/test_odd_orders.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brassfork import Router
-from brassfork import interface as i
+from onyxwick import Router
+from onyxwick import interface as i
 from tests.world import ALL, HOLD, RULES, SETTINGS, S
 
 PROOF = {i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.NOT_SENT, i.Status.MISS}
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from brassfork import Router
-from brassfork import interface as i
+from onyxwick import Router
+from onyxwick import interface as i
 from tests.world import CACHES, ORIGIN, PARENTS, RULES, SETTINGS, S, World, fetched, finals, sent
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from brassfork import Router
-from brassfork import interface as i
+from onyxwick import Router
+from onyxwick import interface as i
 
 S = 1_000_000
 CHUNK = i.RequestClass("chunk", i.Repeat.SAFE, 500_000, 6 * S, aim_stretch=1.6, worth=2.0, segmented=True)
