--- /dev/null
+++ b/onyxwick/config.py
@@ -0,0 +1,79 @@
+"""The director's configuration, from the file and the variables that the platform gives."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from onyxwick import interface as i
+from onyxwick.net.coordinator import read_address
+from onyxwick.settings import Pairs, SettingError, read_settings
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    coordinator: tuple[str, int]
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: i.Settings
+
+
+def _field(data: Mapping[str, Any], name: str, kind: type) -> Any:
+    value = data.get(name)
+    if not isinstance(value, kind):
+        raise ConfigError(f"field '{name}' is missing or no {kind.__name__}")
+    return value
+
+
+def read(data: Mapping[str, Any]) -> Config:
+    try:
+        listen = read_address(_field(data, "listen", str))
+    except ValueError as error:
+        raise ConfigError(f"field 'listen': {error}") from None
+    try:
+        coordinator = read_address(_field(data, "coordinator", str))
+    except ValueError as error:
+        raise ConfigError(f"field 'coordinator': {error}") from None
+    try:
+        seed = int(str(data.get("seed") or "0"), 16)
+    except ValueError:
+        raise ConfigError("field 'seed' is no hexadecimal number") from None
+    sockets = (data.get("limits") or {}).get("sockets", 1024)
+    if not isinstance(sockets, int) or sockets < 64:
+        raise ConfigError("field 'limits.sockets' is no number from 64")
+    try:
+        settings = read_settings(Pairs.of_json(_field(data, "settings", dict)))
+    except SettingError as error:
+        raise ConfigError(f"field 'settings': {error}") from None
+    known = data.get("known") or {}
+    if not isinstance(known, dict) or not isinstance(known.get("updates", []), list):
+        raise ConfigError("field 'known' is no list of events")
+    return Config(str(data.get("name", "")), listen, coordinator, seed, sockets, known, settings)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    path = environment.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("variable 'RELAY_CONFIG' is not set")
+    try:
+        data = ujson.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError(f"variable 'RELAY_CONFIG': {error}") from None
+    except ValueError as error:
+        raise ConfigError(f"file of 'RELAY_CONFIG' is no JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError("file of 'RELAY_CONFIG' holds no object")
+    told = {"name": environment.get("RELAY_NAME"), "listen": environment.get("RELAY_LISTEN")}
+    return read({**data, **{name: value for name, value in told.items() if value}})
--- /dev/null
+++ b/onyxwick/core/engine.py
@@ -0,0 +1,274 @@
+"""The life of requests: the module decides, this carries its actions out and tells it what came of them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from onyxwick import interface as i
+from onyxwick.core.members import Members
+from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
+from onyxwick.counters import Counters
+from onyxwick.logic import Router
+
+log = logging.getLogger(__name__)
+OVERDUE_US = 20_000  # past its deadline a request is answered even if the module forgot it
+RETRY_TIMER_S = 0.1  # after an error on a timer the module is woken again
+MAX_OPEN = 512  # requests at once: with answers of 240 KB each, what memory bears
+
+
+def unix_us() -> int:
+    return time.time_ns() // 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    member: str
+    number: int
+    outcome: Outcome
+    latency_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client has left, or (`overdue`) its time is over and nothing has answered it."""
+
+    overdue: bool = False
+
+
+Mail = i.Action | Ended | Left
+
+
+@dataclass(slots=True, eq=False)
+class Life:
+    """One request with its mailbox: the module's actions on it, its attempts' ends, its client's leaving."""
+
+    request: Request
+    mailbox: asyncio.Queue[Mail] = field(default_factory=asyncio.Queue)
+    attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
+    gone: bool = False
+
+
+class Core:
+    """Owns the module of one director: the only place that hands it events and takes its actions."""
+
+    def __init__(
+        self,
+        settings: i.Settings,
+        seed: int,
+        transport: Transport,
+        members: Members,
+        counters: Counters,
+        clock: Callable[[], int] = unix_us,
+    ) -> None:
+        self.settings, self.transport, self.members, self.counters = settings, transport, members, counters
+        self.clock = clock
+        self.latest = clock()
+        self.lives: dict[str, Life] = {}
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.writes = {c.name for c in settings.classes if c.write}
+        self.router = Router(settings, seed, self.now())
+        self.tell()
+
+    def now(self) -> int:
+        """The Unix clock in microseconds, which for the module never goes back."""
+        self.latest = max(self.latest, self.clock())
+        return self.latest
+
+    # ---- events in, actions out -------------------------------------------------------------------------
+
+    def tell(self, *events: i.Event) -> None:
+        for action in self.router.handle(self.now(), list(events)):
+            self._carry_out(action)
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.SetTimer(at, token):
+                delay = max(0, at - self.now()) / 1e6
+                asyncio.get_running_loop().call_later(delay, self._timer, at, token)
+            case i.Log(text):
+                log.info("module: %s", text)
+            case i.Subscribe() | i.AskList():
+                pass  # the coordinator's events come unasked
+            case _:
+                if life := self.lives.get(action.request):
+                    life.mailbox.put_nowait(action)
+
+    def _timer(self, at: int, token: str) -> None:
+        # A timer never reaches the module early: it would find nothing due and not ask again.
+        if self.now() < at:
+            asyncio.get_running_loop().call_later((at - self.now()) / 1e6 + 0.0005, self._timer, at, token)
+            return
+        try:
+            self.tell(i.TimerFired(token))
+        except Exception:
+            self.counters.add("error.timer")
+            log.exception("error on timer %s", token)
+            asyncio.get_running_loop().call_later(RETRY_TIMER_S, self._timer, at, token)
+
+    def list_changed(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
+        self.members.apply(event, addresses)
+        self.tell(event)
+
+    def purged(self, group: int, name: str | None, at_us: int) -> None:
+        self.members.purged(group, name, self.now())
+        self.tell(i.Purged(group, name, max(0, self.now() - at_us)))
+
+    # ---- one request ------------------------------------------------------------------------------------
+
+    async def serve(self, request: Request, reply: Callable[[Answer], None]) -> None:
+        """A request's whole life. `reply` is called once, or never if the client has left."""
+        if request.id in self.lives or len(self.lives) >= MAX_OPEN:
+            known = request.id in self.lives
+            self.counters.add("answer.duplicate" if known else "answer.overloaded")
+            reply(Answer(Verdict.FAILED if known else Verdict.REFUSED))
+            return
+        life = Life(request)
+        self.lives[request.id] = life
+        self.idle.clear()
+        try:
+            try:
+                answer = await self._decide(life)
+            except Exception:
+                # One request's error is that request's failure, never the process's end.
+                self.counters.add("error.request")
+                log.exception("error in request %s", request.id)
+                answer = Answer(Verdict.FAILED)
+            if answer is not None:
+                self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
+                reply(answer)
+            await self._wind_up(life)
+        finally:
+            del self.lives[request.id]
+            if not self.lives:
+                self.idle.set()
+
+    def leave(self, request_id: str) -> None:
+        if (life := self.lives.get(request_id)) and not life.gone:
+            life.gone = True
+            life.mailbox.put_nowait(Left())
+
+    async def _decide(self, life: Life) -> Answer | None:
+        """From arrival to the one final answer; None if the client left before it."""
+        request = life.request
+        deadline = request.arrived_us + request.timeout_us
+        self.counters.add(f"request.{request.class_name}")
+        overdue = asyncio.get_running_loop().call_later(
+            (deadline + OVERDUE_US - self.now()) / 1e6, life.mailbox.put_nowait, Left(overdue=True)
+        )
+        try:
+            self.tell(self._arrival(request, deadline))
+            while True:
+                match mail := await life.mailbox.get():
+                    case i.Attempt() | i.Fetch():
+                        self._start(life, mail)
+                    case i.Cancel(_, number):
+                        self._cancel(life, number)
+                    case Ended(outcome=outcome):
+                        self._report(life, mail)
+                        if outcome.status is i.Status.OK:
+                            return Answer(Verdict.SERVED, outcome.body, outcome.tag, outcome.unchanged)
+                    case i.Refuse(_, after):
+                        return Answer(Verdict.REFUSED, retry_after_us=after)
+                    case i.Fail():
+                        return Answer(Verdict.FAILED)
+                    case Left(late):
+                        self.counters.add("request.overdue" if late else "request.left")
+                        self.tell(i.ClientLeft(request.id))
+                        return Answer(Verdict.FAILED) if late else None
+        finally:
+            overdue.cancel()
+
+    async def _wind_up(self, life: Life) -> None:
+        """After the final answer: every attempt still out ends, and the module is told how."""
+        while any(life.attempts) or not life.mailbox.empty():
+            match mail := await life.mailbox.get():
+                case i.Attempt() | i.Fetch():
+                    life.attempts.append(None)
+                    number = len(life.attempts) - 1
+                    self._report(life, Ended(mail.member, number, Outcome(i.Status.NOT_SENT), 0))
+                case i.Cancel(_, number):
+                    self._cancel(life, number)
+                case Ended():
+                    self._report(life, mail)
+                case _:
+                    pass  # the client's leaving, or a second thought: the answer has gone out
+
+    def _arrival(self, request: Request, deadline: int) -> i.RequestArrived:
+        return i.RequestArrived(
+            request=request.id,
+            class_name=request.class_name,
+            object=request.object,
+            expires_in_us=max(0, deadline - self.now()),
+            group=request.group,
+            part=request.part,
+            repeat=request.repeat,
+            write=request.class_name in self.writes,
+            tenant=request.tenant,
+        )
+
+    # ---- attempts ---------------------------------------------------------------------------------------
+
+    def _start(self, life: Life, action: i.Attempt | i.Fetch) -> None:
+        order, number, begun = self._order(life.request, action), len(life.attempts), self.now()
+        task = asyncio.get_running_loop().create_task(self.transport.run(order))
+        life.attempts.append(task)
+        self.counters.add("attempt.sent")
+        # Not an await around `run`: a task cancelled before its first step would leave no outcome.
+        task.add_done_callback(partial(self._ended, life, order.member, number, begun))
+
+    def _order(self, request: Request, action: i.Attempt | i.Fetch) -> Order:
+        decided, left = self.now(), request.arrived_us + request.timeout_us - self.now()
+        timeout = min(left, action.timeout_us) if action.timeout_us else left
+        if isinstance(action, i.Attempt):
+            good = partial(self.members.still_good, action.member, None, request, decided)
+            return Order(request, action.member, timeout, still_good=good)
+        source = None if action.source == action.member else action.source
+        return Order(
+            request,
+            action.member,
+            timeout,
+            source,
+            action.rank,
+            action.max_age_us,
+            action.flags,
+            partial(self.members.still_good, action.member, source, request, decided),
+        )
+
+    def _cancel(self, life: Life, number: int) -> None:
+        if 0 <= number < len(life.attempts) and (task := life.attempts[number]):
+            task.cancel()
+
+    def _ended(self, life: Life, member: str, number: int, begun: int, task: asyncio.Task[Outcome]) -> None:
+        life.attempts[number] = None
+        if task.cancelled():
+            outcome = Outcome(i.Status.CANCELLED)
+        elif error := task.exception():
+            self.counters.add("error.attempt")
+            log.error("error in an attempt of %s", life.request.id, exc_info=error)
+            outcome = Outcome(i.Status.ERROR)
+        else:
+            outcome = task.result()
+        life.mailbox.put_nowait(Ended(member, number, outcome, self.now() - begun))
+
+    def _report(self, life: Life, ended: Ended) -> None:
+        outcome = ended.outcome
+        self.counters.add(f"outcome.{outcome.status.value}")
+        self.tell(
+            i.AttemptEnded(
+                request=life.request.id,
+                attempt=ended.number,
+                member=ended.member,
+                status=outcome.status,
+                latency_us=ended.latency_us,
+                final=outcome.status is i.Status.OK,
+                detail=outcome.detail,
+                waited_us=outcome.waited_us,
+                report=outcome.report,
+            )
+        )
--- /dev/null
+++ b/onyxwick/core/members.py
@@ -0,0 +1,61 @@
+"""The list as last told: where each member is, and what a send must look at again right before it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from onyxwick import interface as i
+from onyxwick.core.model import Request
+
+PURGES_KEPT_US = 10_000_000  # no send waits that long, so older purges bind none
+
+
+class Members:
+    """Members by id. The address is looked up at each send: another member may have had it before."""
+
+    def __init__(self) -> None:
+        self.listed: dict[str, i.Member] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.loaded = False
+        self.watchers: list[Callable[[str], None]] = []  # told of each member that left or started anew
+        self.purges: dict[tuple[int | None, str | None], int] = {}  # when each was told
+
+    def apply(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
+        if event.kind is not i.ListKind.CHANGE:
+            named = {m.address for m in event.members}
+            for member in [m for m in self.listed if m not in named]:
+                self._drop(member)
+            self.loaded = True
+        for m in event.members:
+            old = self.listed.get(m.address)
+            if m.state is i.State.GONE:
+                self._drop(m.address)
+                continue
+            moved = self.addresses.get(m.address) != addresses[m.address]
+            self.listed[m.address], self.addresses[m.address] = m, addresses[m.address]
+            if old and (moved or old.since_us != m.since_us):
+                self._tell_watchers(m.address)
+
+    def _drop(self, member: str) -> None:
+        if self.listed.pop(member, None):
+            del self.addresses[member]
+            self._tell_watchers(member)
+
+    def _tell_watchers(self, member: str) -> None:
+        for watcher in self.watchers:
+            watcher(member)
+
+    def purged(self, group: int, name: str | None, now: int) -> None:
+        self.purges = {k: at for k, at in self.purges.items() if at > now - PURGES_KEPT_US}
+        self.purges[(group, None) if name is None else (None, name)] = now
+
+    def ready(self, member: str) -> bool:
+        listed = self.listed.get(member)
+        return listed is not None and listed.state is i.State.READY
+
+    def still_good(self, member: str, source: str | None, request: Request, decided: int) -> bool:
+        """May what was decided then be sent now? A drain or a purge may have been told in between."""
+        if not self.ready(member) or (source is not None and not self.ready(source)):
+            return False
+        told = (self.purges.get((request.group, None), 0), self.purges.get((None, request.object), 0))
+        return max(told) <= decided
--- /dev/null
+++ b/onyxwick/core/model.py
@@ -0,0 +1,78 @@
+"""What passes between the core, the fronts before it and the transport behind it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from onyxwick import interface as i
+
+
+class Verdict(Enum):
+    """The final answer to a request, in the client's eyes."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One client request. Its time runs from `arrived_us`, when its last byte came."""
+
+    id: str
+    class_name: str
+    object: str
+    part: int
+    group: int | None
+    arrived_us: int
+    timeout_us: int
+    repeat: bool = False
+    body: bytes = b""
+    held_tag: str = ""  # tag of the copy that the client holds
+    tenant: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    verdict: Verdict
+    body: bytes = b""
+    tag: str = ""
+    unchanged: bool = False  # the client's own copy is the answer
+    retry_after_us: int = 0
+    member: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One attempt as the module ordered it. A `source` of None: nothing is filled."""
+
+    request: Request
+    member: str
+    timeout_us: int
+    source: str | None = None
+    rank: int = 0
+    max_age_us: int = 0
+    flags: i.FillFlag = i.FillFlag.NONE
+    still_good: Callable[[], bool] = field(default=lambda: True, compare=False)
+    """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    status: i.Status
+    detail: i.Detail = i.Detail.NONE
+    waited_us: int = 0
+    report: tuple[float, ...] = ()
+    body: bytes = b""
+    tag: str = ""
+    unchanged: bool = False
+    untold: bool = False  # nobody saw how it ended: the module must learn nothing from it
+
+
+class Transport(Protocol):
+    """Carries out attempts. Cancelling `run` gives the attempt up."""
+
+    async def run(self, order: Order) -> Outcome: ...
--- /dev/null
+++ b/onyxwick/net/caches.py
@@ -0,0 +1,309 @@
+"""Attempts over sockets: connections to caches, parents and the origin, and how attempts on them end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+import time
+from dataclasses import dataclass
+
+from onyxwick import interface as i
+from onyxwick.core.members import Members
+from onyxwick.core.model import Order, Outcome
+from onyxwick.counters import Counters
+from onyxwick.net import resp
+from onyxwick.net.outbox import Outbox, Parcel, Progress
+
+log = logging.getLogger(__name__)
+LINKS = 12  # connections to one member: answers on one come one behind the other
+SPOILED = 256  # given-up ids on one connection after which it takes no new ones
+IDLE_S = 10.0  # under the time after which the other side closes: no send crosses its close
+STALLED_S = 3.0  # a write that moves nothing for so long means that the machine is gone
+DETAILS = {
+    "HIT": i.Detail.HIT,
+    "MISS": i.Detail.FILLED,
+    "MISS_ORIGIN": i.Detail.FILLED_FROM_ORIGIN,
+    "COLLAPSED": i.Detail.JOINED,
+    "STALE": i.Detail.STALE,
+    "UP_BUSY": i.Detail.SOURCE_REFUSED,
+    "UP_DOWN": i.Detail.SOURCE_LOST,
+    "UP_MISS": i.Detail.SOURCE_LACKS,
+    "NO_FILL": i.Detail.NO_FILL_SLOT,
+    "ORIGIN_ERR": i.Detail.ORIGIN_FAILED,
+}
+ENDS = {
+    b"data": i.Status.OK,
+    b"unchanged": i.Status.OK,
+    b"absent": i.Status.MISS,
+    b"full": i.Status.FULL,
+    b"failed": i.Status.ERROR,
+    b"moot": i.Status.NOT_SENT,
+}
+HINTS = (
+    (i.FillFlag.JOIN, "share"),
+    (i.FillFlag.HELD_ONLY, "peek"),
+    (i.FillFlag.PARENT_KEEPS_NONE, "pass"),
+    (i.FillFlag.RENEW, "swr"),
+)
+
+
+def request_bytes(order: Order) -> bytes:
+    request = order.request
+    out = {
+        "c": request.class_name,
+        "k": request.object,
+        "p": str(request.part),
+        "w": str(max(1, order.timeout_us // 1000)),
+    }
+    if order.source is not None:
+        out["parent"] = order.source
+    if order.rank:
+        out["shelf"] = str(order.rank)
+    if order.max_age_us:
+        # Never 0 by rounding: that would ask for the class's fresh time, and let a purged copy pass.
+        out["accept"] = str(max(1, order.max_age_us // 1000))
+    if hints := "+".join(word for flag, word in HINTS if flag in order.flags):
+        out["hints"] = hints
+    if request.held_tag:
+        out["got"] = request.held_tag
+    fields = ",".join(f"{name}={value}" for name, value in out.items())
+    return resp.command(b"REQ", request.id.encode(), fields.encode(), request.body)
+
+
+def read_outcome(words: list[bytes], report_names: tuple[str, ...]) -> Outcome:
+    """The outcome that one answer `ID WORD FIELDS BODY` tells of; RespError where it is none."""
+    if len(words) != 4 or words[1] not in ENDS:
+        raise resp.RespError(f"no answer: {[w[:32] for w in words[:2]]!r}")
+    _, word, text, body = words
+    told = resp.fields(text)
+    try:
+        waited = int(float(told.get("first") or 0) * 1000)
+        load = dict(pair.partition(":")[::2] for pair in told.get("load", "").split(";") if pair)
+        report = tuple(float(load.get(name) or 0) for name in report_names) if load else ()
+    except (ValueError, OverflowError):
+        raise resp.RespError(f"bad fields {text[:64]!r}") from None
+    return Outcome(
+        ENDS[word],
+        DETAILS.get(told.get("note", ""), i.Detail.NONE),
+        waited,
+        report,
+        body,
+        told.get("digest", ""),
+        word == b"unchanged",
+    )
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One attempt on a link."""
+
+    id: bytes
+    parcel: Parcel
+    result: asyncio.Future[Outcome]
+    sent_at: float
+    tagged: bool  # the client's copy was named: `unchanged` may be the answer
+
+    def settle(self, outcome: Outcome) -> None:
+        if not self.result.done():
+            self.result.set_result(outcome)
+
+
+class Link:
+    """One connection to one member, from the first SYN to its close."""
+
+    def __init__(self, caches: Caches, member: str, address: tuple[str, int]) -> None:
+        self.caches, self.member, self.address = caches, member, address
+        self.calls: dict[bytes, Call] = {}
+        self.spoiled: set[bytes] = set()  # given up here: a late answer must not pass for a later attempt's
+        self.up = self.retired = self.closed = False
+        self.heard_at = self.used_at = time.monotonic()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.outbox = Outbox(self.sock, STALLED_S)
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def drop(self) -> None:
+        """Close it; from now on it takes nothing new."""
+        self.retired = True
+        self.task.cancel()
+
+    def takes(self, request_id: bytes) -> bool:
+        if self.retired or len(self.spoiled) >= SPOILED:
+            return False
+        return request_id not in self.calls and request_id not in self.spoiled
+
+    def call(self, order: Order) -> Call:
+        request_id, now = order.request.id.encode(), time.monotonic()
+        future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        call = Call(request_id, Parcel(b""), future, now, bool(order.request.held_tag))
+        call.parcel = Parcel(request_bytes(order), order.still_good, lambda: self._dropped(call))
+        self.calls[request_id] = call
+        self.used_at = now
+        self.outbox.post(call.parcel)
+        return call
+
+    def _dropped(self, call: Call) -> None:
+        self.calls.pop(call.id, None)
+        call.settle(Outcome(i.Status.NOT_SENT))
+
+    def give_up(self, call: Call) -> i.Status:
+        """Stop an attempt whose time is over or that was called off; tells how it ended."""
+        if self.calls.get(call.id) is not call:
+            return i.Status.RESET
+        del self.calls[call.id]
+        if self.outbox.withdraw(call.parcel):
+            return i.Status.NOT_SENT if self.up else i.Status.CONNECT_FAILED
+        self.spoiled.add(call.id)
+        self.outbox.post(Parcel(resp.command(b"STOP", call.id)))
+        if self.heard_at < call.sent_at:
+            self.retired = True  # a machine that vanished says nothing: new attempts try a new connection
+        return i.Status.TIMEOUT
+
+    async def _run(self) -> None:
+        failed = i.Status.CONNECT_FAILED
+        try:
+            async with asyncio.timeout(self.caches.connect_s):
+                await asyncio.get_running_loop().sock_connect(self.sock, self.address)
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.up, failed = True, i.Status.RESET
+            await self._talk()
+        except (OSError, TimeoutError):
+            pass  # told to the attempts below
+        except resp.RespError as error:
+            self.caches.counters.add("bad.resp")
+            log.warning("connection to %s closed: %s", self.member, error)
+        finally:
+            self._close(failed)
+
+    async def _talk(self) -> None:
+        writer = asyncio.get_running_loop().create_task(self.outbox.run())
+        reader = asyncio.get_running_loop().create_task(self._read())
+        try:
+            done, _ = await asyncio.wait({writer, reader}, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            writer.cancel()
+            reader.cancel()
+            await asyncio.gather(writer, reader, return_exceptions=True)
+
+    async def _read(self) -> None:
+        loop, parser = asyncio.get_running_loop(), resp.Parser()
+        while await parser.buffer.receive(loop, self.sock):
+            self.heard_at = time.monotonic()
+            for words in parser.messages():
+                self._answered(words)
+
+    def _answered(self, words: list[bytes]) -> None:
+        outcome = read_outcome(words, self.caches.report_names)
+        call = self.calls.pop(words[0], None)
+        if call is None:
+            self.caches.counters.add("answer.late")
+            self.spoiled.discard(words[0])
+            return
+        if outcome.unchanged and not call.tagged:
+            raise resp.RespError("'unchanged' to a request that held no copy")
+        call.settle(outcome)
+
+    def _close(self, failed: i.Status) -> None:
+        self.closed = self.retired = True
+        self.sock.close()
+        self.caches.forget(self)
+        calls, self.calls = self.calls, {}
+        for call in calls.values():
+            unsent = call.parcel.progress in (Progress.WAITING, Progress.DROPPED)
+            never = i.Status.NOT_SENT if self.up else i.Status.CONNECT_FAILED
+            call.settle(Outcome(never if unsent else failed))
+
+
+class Caches:
+    """The core's transport: a bounded pool of connections to each member."""
+
+    def __init__(
+        self,
+        members: Members,
+        counters: Counters,
+        connect_us: int,
+        report_names: tuple[str, ...] = (),
+        most_links: int = 256,
+    ) -> None:
+        self.members, self.counters, self.report_names = members, counters, report_names
+        self.connect_s = (connect_us or 400_000) / 1e6
+        self.most_links = most_links
+        self.links: dict[str, list[Link]] = {}
+        self.count = 0
+        members.watchers.append(self.member_changed)
+
+    async def run(self, order: Order) -> Outcome:
+        address = self.members.addresses.get(order.member)
+        if address is None or order.timeout_us <= 0 or not order.still_good():
+            return Outcome(i.Status.NOT_SENT)
+        try:
+            link = self._link(order.member, address, order.request.id.encode())
+        except OSError as error:  # out of descriptors: nothing was sent
+            self.counters.add("error.socket")
+            log.warning("no socket for %s: %s", order.member, error)
+            return Outcome(i.Status.NOT_SENT)
+        call = link.call(order)
+        try:
+            async with asyncio.timeout(order.timeout_us / 1e6):
+                return await call.result
+        except TimeoutError:
+            return Outcome(link.give_up(call))
+        except asyncio.CancelledError:
+            link.give_up(call)
+            raise
+
+    def _link(self, member: str, address: tuple[str, int], request_id: bytes) -> Link:
+        """An unused connection, a new one, or the least used."""
+        links = self.links.setdefault(member, [])
+        fit = [link for link in links if link.takes(request_id)]
+        least = min(fit, key=lambda link: len(link.calls), default=None)
+        if least is not None and not least.calls:
+            return least
+        if least is None or (len(fit) < LINKS and self.count < self.most_links):
+            if self.count >= self.most_links:
+                self._close_idle()
+            least = Link(self, member, address)
+            links.append(least)
+            self.count += 1
+        return least
+
+    def _close_idle(self) -> None:
+        idle = [link for links in self.links.values() for link in links if not link.calls]
+        if idle:
+            min(idle, key=lambda link: link.used_at).drop()
+
+    def forget(self, link: Link) -> None:
+        links = self.links.get(link.member, [])
+        if link in links:
+            links.remove(link)
+            self.count -= 1
+        if not links:
+            self.links.pop(link.member, None)
+
+    def member_changed(self, member: str) -> None:
+        """It left or started anew: what is open to it speaks to a process that is gone."""
+        for link in self.links.get(member, []):
+            link.retired = True
+            if not link.calls:
+                link.drop()
+
+    async def sweep(self) -> None:
+        """Close what is idle, or retired and empty."""
+        while True:
+            await asyncio.sleep(1.0)
+            before = time.monotonic() - IDLE_S
+            for links in list(self.links.values()):
+                for link in links:
+                    if not link.calls and not link.outbox.pending and (link.retired or link.used_at < before):
+                        link.drop()
+
+    async def close(self) -> None:
+        tasks = [link.task for links in self.links.values() for link in links]
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/onyxwick/net/coordinator.py
@@ -0,0 +1,126 @@
+"""The coordinator's events: the list of members and purges, in order and without a gap."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import Any
+
+import ujson
+
+from onyxwick import interface as i
+from onyxwick.core import Core
+from onyxwick.counters import Counters
+from onyxwick.net.buffer import Buffer
+
+log = logging.getLogger(__name__)
+SILENT_S = 3.0  # a line comes each second: without one for so long the connection is broken
+AGAIN_S = 0.2  # between attempts to connect
+MAX_LINE = 4_194_304
+STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
+
+
+def read_address(text: object) -> tuple[str, int]:
+    host, mark, port = str(text).rpartition(":")
+    if not mark or not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65_536:
+        raise ValueError(f"bad address {str(text)[:64]!r}")
+    return host, int(port)
+
+
+def read_members(told: dict[str, Any]) -> tuple[i.MembersChanged, dict[str, tuple[str, int]]]:
+    members, addresses = [], {}
+    for row in told["servers"]:
+        state = STATES[row["state"]]
+        members.append(
+            i.Member(
+                address=str(row["id"]),
+                zone=str(row.get("zone", "")),
+                kind=str(row.get("kind", "")),
+                cell=int(row.get("cell") or 0),
+                state=state,
+                weight=float(row.get("weight") or 0),
+                since_us=int(row.get("started_ms") or 0) * 1000,
+            )
+        )
+        if state is not i.State.GONE:
+            addresses[str(row["id"])] = read_address(row["addr"])
+    kind = i.ListKind.FULL if told.get("full") else i.ListKind.CHANGE
+    return i.MembersChanged(kind, tuple(members), int(told.get("version") or 0)), addresses
+
+
+class Coordinator:
+    """Follows the coordinator's feed and hands its events to the core."""
+
+    def __init__(self, core: Core, counters: Counters) -> None:
+        self.core, self.counters = core, counters
+        self.last = 0
+
+    def known(self, known: dict[str, Any]) -> None:
+        """What the configuration tells of the time before the start."""
+        for event in known.get("updates") or ():
+            self.apply(event)
+        self.last = max(self.last, int(known.get("index") or 0))
+
+    def apply(self, event: dict[str, Any]) -> None:
+        """One event; one that cannot be read is counted and passed over, as waiting would not mend it."""
+        index = int(event["index"])
+        if index <= self.last:
+            return
+        self.last = index
+        try:
+            if "endpoints" in event:
+                self.core.list_changed(*read_members(event["endpoints"]))
+            if "evict" in event:
+                evict = event["evict"]
+                name = None if evict.get("ref") is None else str(evict["ref"])
+                group = -1 if evict.get("shard") is None else int(evict["shard"])
+                self.core.purged(group, name, int(evict["unix_ms"]) * 1000)
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
+            self.bad(f"event {index}: {error!r}")
+
+    def bad(self, text: str) -> None:
+        self.counters.add("bad.coordinator")
+        log.warning("bad input of the coordinator: %s", text)
+
+    def line(self, text: bytes) -> None:
+        try:
+            told = ujson.loads(text)
+            if isinstance(told, dict):
+                if int(told["index"]) > self.last + 1:
+                    raise OSError("events were left out")  # asked for again on a new connection
+                self.apply(told)
+            elif not isinstance(told, int):
+                raise ValueError("neither a number nor an event")
+        except (ValueError, KeyError, TypeError) as error:
+            self.bad(f"{error!r} in {text[:64]!r}")
+
+    async def follow(self, address: tuple[str, int]) -> None:
+        """Keep a connection to the feed until cancelled."""
+        while True:
+            try:
+                await self._follow_once(address)
+            except (OSError, TimeoutError) as error:
+                self.counters.add("coordinator.lost")
+                log.info("coordinator: %r; again after event %d", error, self.last)
+            except Exception:
+                self.counters.add("error.coordinator")
+                log.exception("error in the coordinator's events")
+            await asyncio.sleep(AGAIN_S)
+
+    async def _follow_once(self, address: tuple[str, int]) -> None:
+        loop, buffer = asyncio.get_running_loop(), Buffer()
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            sock.setblocking(False)
+            async with asyncio.timeout(SILENT_S):
+                await loop.sock_connect(sock, address)
+                await loop.sock_sendall(sock, b"follow %d\n" % self.last)
+            while True:
+                async with asyncio.timeout(SILENT_S):
+                    if not await buffer.receive(loop, sock):
+                        raise OSError("closed by the coordinator")
+                while (end := buffer.find(b"\n")) >= 0:
+                    if line := buffer.take(end + 1).strip():
+                        self.line(line)
+                if len(buffer) > MAX_LINE:
+                    raise OSError("line too long")
--- /dev/null
+++ b/onyxwick/net/fastcgi.py
@@ -0,0 +1,218 @@
+"""FastCGI 1.0 in the Responder role: bytes in, messages out, and the bytes of answers. No I/O here."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from onyxwick.net.buffer import Buffer
+
+HEADER = struct.Struct(">BBHHBx")
+BEGIN_BODY = struct.Struct(">HB5x")
+END_BODY = struct.Struct(">IB3x")
+VERSION, RESPONDER, KEEP_CONN = 1, 1, 1
+MAX_OPEN = 32  # requests on one connection
+MAX_PARAMS, MAX_BODY = 32_768, 65_536  # over these a request cannot be one of the platform's
+SLICE = 65_528  # most content of one record, a multiple of eight
+MANAGED = {b"FCGI_MAX_CONNS": b"341", b"FCGI_MAX_REQS": b"10912", b"FCGI_MPXS_CONNS": b"1"}
+
+
+class Type(IntEnum):
+    BEGIN, ABORT, END, PARAMS, STDIN, STDOUT, STDERR, DATA, GET_VALUES, GET_VALUES_RESULT, UNKNOWN = range(
+        1, 12
+    )
+
+
+class Protocol(IntEnum):
+    """The protocol status of END_REQUEST."""
+
+    COMPLETE, CANT_MULTIPLEX, OVERLOADED, UNKNOWN_ROLE = range(4)
+
+
+class FramingError(Exception):
+    """The records can't be told apart any more: only closing the connection helps."""
+
+
+@dataclass(slots=True)
+class Call:
+    """A whole request: its last byte has come."""
+
+    number: int
+    keep: bool
+    params: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Aborted:
+    """The client has stopped waiting for an open request."""
+
+    number: int
+
+
+@dataclass(slots=True)
+class Reply:
+    """Bytes to send back at once: the protocol's own answers. `fault` names bad input."""
+
+    data: bytes
+    fault: str = ""
+
+
+Message = Call | Aborted | Reply
+
+
+@dataclass(slots=True)
+class _Partial:
+    keep: bool
+    params: bytearray = field(default_factory=bytearray)
+    body: bytearray = field(default_factory=bytearray)
+    params_done: bool = False
+
+
+def record(kind: Type, number: int, content: bytes) -> bytes:
+    pad = -len(content) % 8
+    head = HEADER.pack(VERSION, kind, number, len(content), pad)
+    return head + content + bytes(pad)
+
+
+def end_request(number: int, status: Protocol = Protocol.COMPLETE, app: int = 0) -> bytes:
+    return record(Type.END, number, END_BODY.pack(app, status))
+
+
+def answer(number: int, status: str, headers: dict[str, str], body: bytes) -> bytes:
+    """A CGI response in STDOUT records, closed by END_REQUEST."""
+    lines = [f"Status: {status}", *(f"{k}: {v}" for k, v in headers.items())]
+    content = "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode() + body
+    parts = [record(Type.STDOUT, number, content[at : at + SLICE]) for at in range(0, len(content), SLICE)]
+    return b"".join((*parts, record(Type.STDOUT, number, b""), end_request(number)))
+
+
+def _length(data: bytes | bytearray, at: int) -> tuple[int, int]:
+    if data[at] < 128:
+        return data[at], at + 1
+    return int.from_bytes(data[at : at + 4], "big") & 0x7FFFFFFF, at + 4
+
+
+def read_pairs(data: bytes | bytearray) -> dict[bytes, bytes]:
+    """Name-value pairs; ValueError where the lengths don't fit the data."""
+    pairs, at = {}, 0
+    while at < len(data):
+        try:
+            size, at = _length(data, at)
+            value_size, at = _length(data, at)
+        except IndexError:
+            raise ValueError("cut name-value pair") from None
+        end = at + size + value_size
+        if end > len(data):
+            raise ValueError("cut name-value pair")
+        pairs[bytes(data[at : at + size])] = bytes(data[at + size : end])
+        at = end
+    return pairs
+
+
+def write_pairs(pairs: dict[bytes, bytes]) -> bytes:
+    def size(n: int) -> bytes:
+        return bytes([n]) if n < 128 else (n | 0x80000000).to_bytes(4, "big")
+
+    return b"".join(size(len(k)) + size(len(v)) + k + v for k, v in pairs.items())
+
+
+class Parser:
+    """The records of one connection. `open` holds what was begun and is not yet answered."""
+
+    def __init__(self) -> None:
+        self.buffer = Buffer()
+        self.partial: dict[int, _Partial] = {}
+        self.open: set[int] = set()  # whole requests; whoever answers one discards its number
+
+    def messages(self) -> Iterator[Message]:
+        buffer = self.buffer
+        while len(buffer) >= HEADER.size:
+            version, kind, number, size, pad = HEADER.unpack_from(buffer.data, buffer.start)
+            if version != VERSION:
+                raise FramingError(f"FastCGI version {version}")
+            if len(buffer) < HEADER.size + size + pad:
+                return
+            buffer.skip(HEADER.size)
+            content = buffer.take(size)
+            buffer.skip(pad)
+            message = self._record(kind, number, content)
+            if message is not None:
+                yield message
+
+    def _record(self, kind: int, number: int, content: bytes) -> Message | None:
+        if number == 0:
+            return self._management(kind, content)
+        if kind == Type.BEGIN:
+            return self._begin(number, content)
+        if kind == Type.ABORT:
+            return self._abort(number)
+        partial = self.partial.get(number)
+        if partial is None:
+            return None  # a record of a request that was refused, aborted or never begun
+        if kind == Type.PARAMS:
+            return self._params(number, partial, content)
+        if kind == Type.STDIN:
+            return self._stdin(number, partial, content)
+        return None  # DATA is for filters
+
+    def _management(self, kind: int, content: bytes) -> Reply:
+        if kind != Type.GET_VALUES:
+            return Reply(record(Type.UNKNOWN, 0, bytes([kind]) + bytes(7)), "unknown management record")
+        try:
+            asked = read_pairs(content)
+        except ValueError as error:
+            raise FramingError(str(error)) from None
+        known = {k: v for k, v in MANAGED.items() if k in asked}
+        return Reply(record(Type.GET_VALUES_RESULT, 0, write_pairs(known)))
+
+    def _begin(self, number: int, content: bytes) -> Reply | None:
+        if len(content) != BEGIN_BODY.size:
+            raise FramingError("bad BEGIN_REQUEST")
+        role, flags = BEGIN_BODY.unpack(content)
+        if number in self.partial or number in self.open:
+            raise FramingError(f"request {number} begun twice")
+        if role != RESPONDER:
+            return Reply(end_request(number, Protocol.UNKNOWN_ROLE), "unknown role")
+        if len(self.partial) + len(self.open) >= MAX_OPEN:
+            return Reply(end_request(number, Protocol.OVERLOADED), "too many requests on a connection")
+        self.partial[number] = _Partial(bool(flags & KEEP_CONN))
+        return None
+
+    def _abort(self, number: int) -> Message | None:
+        if self.partial.pop(number, None) is not None:
+            return Reply(end_request(number))
+        return Aborted(number) if number in self.open else None
+
+    def _params(self, number: int, partial: _Partial, content: bytes) -> Reply | None:
+        if not content:
+            partial.params_done = True
+        elif len(partial.params) + len(content) > MAX_PARAMS:
+            return self._reject(number, "413 Content Too Large", "parameters too long")
+        else:
+            partial.params += content
+        return None
+
+    def _stdin(self, number: int, partial: _Partial, content: bytes) -> Message | None:
+        if not partial.params_done:
+            return self._reject(number, "400 Bad Request", "STDIN before the end of PARAMS")
+        if content:
+            if len(partial.body) + len(content) > MAX_BODY:
+                return self._reject(number, "413 Content Too Large", "body too long")
+            partial.body += content
+            return None
+        try:
+            pairs = read_pairs(partial.params)
+        except ValueError as error:
+            return self._reject(number, "400 Bad Request", str(error))
+        del self.partial[number]
+        self.open.add(number)
+        params = {k.decode("latin-1"): v.decode("latin-1") for k, v in pairs.items()}
+        return Call(number, partial.keep, params, bytes(partial.body))
+
+    def _reject(self, number: int, status: str, fault: str) -> Reply:
+        """A request that cannot be read is answered `failed`; its later records are passed over."""
+        del self.partial[number]
+        return Reply(answer(number, status, {}, b""), fault)
