--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -40,6 +40,10 @@
 # Cold members, overload, retries.
 COLD_MARGIN = 0.5  # of what the rule allows a cold member: weights are rough and routers unevenly loaded
 GOLDEN = 0.6180339887  # its multiples spread evenly over the unit interval, as do those of every n-th
+DRAWN = 0.38  # link into a location over its caches' links: a quarter missed at full load, with its room
+LINK_FOR = 6  # a location of fewer caches has a wider link, by the root of this over their number
+PARENT_LINK = 3.9  # parent's link over a location's: made for four locations' fills at full load
+GUESSED = 0.6  # of a size that is only guessed from the links: what a cold member is trusted to have
 LOAD_SHARE = 0.9  # of the transfers that can share a link and still meet the aim
 RETRY_SHARE = 0.2  # retries earned by each request
 RETRY_BURST = 60.0  # retries that all routers together can save up
@@ -133,6 +137,7 @@
         self.classes = {c.name: c for c in settings.classes}
         self.peers: dict[str, Peer] = {}  # everything listed
         self.caches: list[Peer] = []
+        self.boxes = 0  # most caches that this location had
         self.others: dict[str, list[Peer]] = {}  # caches of other locations
         self.parents: list[Peer] = []
         self.origin: Peer | None = None
@@ -222,6 +227,7 @@
         ready = [p for _, p in sorted(self.peers.items()) if p.info.state is i.State.READY]
         own = (self.set.parent_kind, self.set.origin_kind)
         self.caches = [p for p in ready if p.info.zone == self.set.zone and p.info.kind not in own]
+        self.boxes = max(self.boxes, len(self.caches))
         self.parents = [p for p in ready if p.info.kind == self.set.parent_kind]
         self.others = {}
         for p in ready:
@@ -289,8 +295,23 @@
 
     def _order(self, key: str, peers: list[Peer]) -> list[Peer]:
         """Rendezvous order: the same at every front, in proportion to the listed weights."""
-        live = self.set.weights == "live"
-        return sorted(peers, key=lambda p: _draw(key, p.info.address) / (1 if live else _size(p)))
+        if self.set.weights in ("live", "off"):
+            return sorted(peers, key=lambda p: _draw(key, p.info.address))
+        return sorted(peers, key=lambda p: _draw(key, p.info.address) / self._size(p))
+
+    def _size(self, peer: Peer) -> float:
+        """A member's link in transfers at full pace: as listed or, where weights are off, as the links tell.
+
+        A link into a location is sized by what its caches draw and a parent by so many such links. Could hurt
+        where caches are very unequal: `room` then learns each one's share.
+        """
+        weight = peer.info.weight if peer.info.weight > 0 else 1.0
+        if self.set.weights != "off" or not self.set.link_kb_per_s or not self.set.pace_kb_per_s:
+            return weight
+        link = self.set.link_kb_per_s / self.set.pace_kb_per_s
+        boxes = max(1, self.boxes)
+        link /= max(1.0, math.sqrt(LINK_FOR / boxes))
+        return link * PARENT_LINK if peer.info.kind == self.set.parent_kind else link / DRAWN / boxes
 
     def _tier(self, peer: Peer) -> tuple[float, int, float, int]:
         """Cold start, its rise, the overload multiple and the routers that share a member of this tier."""
@@ -323,7 +344,8 @@
         window, age = self.set.rules.overload_window_us, self.now - peer.cold_from
         while peer.spent and peer.spent[0][0] <= self.now - window:
             peer.spent.popleft()
-        full = COLD_MARGIN * multiple * _size(peer) / routers
+        guess = GUESSED if self.set.weights == "off" else 1.0
+        full = COLD_MARGIN * guess * multiple * self._size(peer) / routers
         spent = sum(c for _, c in peer.spent) + cost
         if spent <= full * share * window:
             return True
@@ -352,12 +374,12 @@
         work = self.work[kind.name].mean
         stretch = (kind.aim_us + kind.aim_stretch * work) / work
         routers = self.set.routers_in_zone if peer in self.caches else self.set.routers
-        limit = LOAD_SHARE * stretch * _size(peer) * self._cold(peer) / routers
+        limit = LOAD_SHARE * stretch * self._size(peer) * self._cold(peer) / routers
         if peer is self.origin:
             if kind.write:
                 return True  # few, worth most, and with nowhere else to go
             routers = self.set.routers_in_zone  # its size is not told: a part as large as of all own caches
-            limit = LOAD_SHARE * stretch * max(1.0, sum(_size(p) for p in self.caches)) / routers
+            limit = LOAD_SHARE * stretch * max(1.0, sum(self._size(p) for p in self.caches)) / routers
         # One router's part may be under one transfer; in calm it is uneven by chance, so a deviation
         # comes on top. Late answers shrink both: what is slow holds its place, so the limit clocks itself.
         chance = min(math.sqrt(limit) + 1, math.sqrt(routers - 1))
@@ -385,7 +407,7 @@
         order = self._order(f"{ask.object}/{ask.part}", self.caches)
         work = self.work[kind.name].mean
         rate = self._count(ask.object) * math.log(2) / HALF_LIFE_US
-        hot = HOT_SHARE * _size(order[0]) / self.set.routers_in_zone if order else math.inf
+        hot = HOT_SHARE * self._size(order[0]) / self.set.routers_in_zone if order else math.inf
         if len(order) > 1 and not kind.write and rate * work > hot:
             self.turn ^= 1
             if self.turn:
@@ -719,7 +741,3 @@
             if other.flights[n].sent + self.latency[other.kind.name].mean < self.now and self.retries >= 1:
                 other.flights[n].cancelled = True
                 self.out.append(i.Cancel(request, n))
-
-
-def _size(peer: Peer) -> float:
-    return peer.info.weight if peer.info.weight > 0 else 1.0
