--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -18,7 +18,7 @@
 log = logging.getLogger(__name__)
 OVERDUE_US = 20_000  # past its deadline a request is answered even if the module forgot it
 RETRY_TIMER_S = 0.1  # after an error on a timer the module is woken again
-MAX_OPEN = 512  # requests at once: with answers of 240 KB each, what memory bears
+MAX_OPEN = 2048  # requests at once: at some 30 KB an answer on average, what memory bears
 
 
 def unix_us() -> int:
