--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -21,6 +21,7 @@
 SPOILED = 256  # given-up ids on one connection after which it takes no new ones
 IDLE_S = 10.0  # under the time after which the other side closes: no send crosses its close
 STALLED_S = 3.0  # a write that moves nothing for so long means that the machine is gone
+WAKE_MOST = 32_768  # bytes waited for at once, well under what a socket takes in unread
 DETAILS = {
     "HIT": i.Detail.HIT,
     "MISS": i.Detail.FILLED,
@@ -190,11 +191,16 @@
             await asyncio.gather(writer, reader, return_exceptions=True)
 
     async def _read(self) -> None:
-        loop, parser = asyncio.get_running_loop(), resp.Parser()
+        loop, parser, mark = asyncio.get_running_loop(), resp.Parser(), 1
         while await parser.buffer.receive(loop, self.sock):
             self.heard_at = time.monotonic()
             for words in parser.messages():
                 self._answered(words)
+            # A body comes slowly, in many pieces: one wake-up for what is missing, not one a piece.
+            missing = max(1, min(parser.need - len(parser.buffer), WAKE_MOST))
+            if missing != mark:
+                mark = missing
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, mark)
 
     def _answered(self, words: list[bytes]) -> None:
         outcome = read_outcome(words, self.caches.report_names)
--- a/onyxwick/net/resp.py
+++ b/onyxwick/net/resp.py
@@ -25,9 +25,11 @@
 
     def __init__(self) -> None:
         self.buffer = Buffer()
+        self.need = 1  # bytes without which nothing more can be read: bodies come in many small pieces
 
     def messages(self) -> Iterator[list[bytes]]:
-        while (words := self._array()) is not None:
+        while len(self.buffer) >= self.need and (words := self._array()) is not None:
+            self.need = 1
             yield words
 
     def _number(self, at: int, mark: bytes, most: int) -> tuple[int, int] | None:
@@ -53,7 +55,10 @@
         spans = []
         for _ in range(count):
             bulk = self._number(at, b"$", MAX_BULK)
-            if bulk is None or len(self.buffer) < bulk[1] + bulk[0] + 2:
+            if bulk is None:
+                return None
+            if len(self.buffer) < bulk[1] + bulk[0] + 2:
+                self.need = bulk[1] + bulk[0] + 2
                 return None
             size, begin = bulk
             if self.buffer.peek(2, begin + size) != b"\r\n":
