--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -25,7 +26,7 @@
     return time.time_ns() // 1000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Ended:
     member: str
     number: int
@@ -33,7 +34,7 @@
     latency_us: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Left:
     """The client has left, or (`overdue`) its time is over and nothing has answered it."""
 
@@ -43,12 +44,33 @@
 Mail = i.Action | Ended | Left
 
 
+class Mailbox:
+    """Mail for the one coroutine that lives a request; lighter than a queue made for many readers."""
+
+    __slots__ = ("mail", "waiting")
+
+    def __init__(self) -> None:
+        self.mail: deque[Mail] = deque()
+        self.waiting: asyncio.Future[None] | None = None
+
+    def put(self, mail: Mail) -> None:
+        self.mail.append(mail)
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(None)
+
+    async def get(self) -> Mail:
+        while not self.mail:
+            self.waiting = asyncio.get_running_loop().create_future()
+            await self.waiting
+        return self.mail.popleft()
+
+
 @dataclass(slots=True, eq=False)
 class Life:
     """One request with its mailbox: the module's actions on it, its attempts' ends, its client's leaving."""
 
     request: Request
-    mailbox: asyncio.Queue[Mail] = field(default_factory=asyncio.Queue)
+    mailbox: Mailbox = field(default_factory=Mailbox)
     attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
     gone: bool = False
 
@@ -97,7 +119,7 @@
                 pass  # the coordinator's events come unasked
             case _:
                 if life := self.lives.get(action.request):
-                    life.mailbox.put_nowait(action)
+                    life.mailbox.put(action)
 
     def _timer(self, at: int, token: str) -> None:
         # A timer never reaches the module early: it would find nothing due and not ask again.
@@ -151,7 +173,7 @@
     def leave(self, request_id: str) -> None:
         if (life := self.lives.get(request_id)) and not life.gone:
             life.gone = True
-            life.mailbox.put_nowait(Left())
+            life.mailbox.put(Left())
 
     async def _decide(self, life: Life) -> Answer | None:
         """From arrival to the one final answer; None if the client left before it."""
@@ -159,7 +181,7 @@
         deadline = request.arrived_us + request.timeout_us
         self.counters.add(f"request.{request.class_name}")
         overdue = asyncio.get_running_loop().call_later(
-            (deadline + OVERDUE_US - self.now()) / 1e6, life.mailbox.put_nowait, Left(overdue=True)
+            (deadline + OVERDUE_US - self.now()) / 1e6, life.mailbox.put, Left(overdue=True)
         )
         try:
             self.tell(self._arrival(request, deadline))
@@ -186,7 +208,7 @@
 
     async def _wind_up(self, life: Life) -> None:
         """After the final answer: every attempt still out ends, and the module is told how."""
-        while any(life.attempts) or not life.mailbox.empty():
+        while any(life.attempts) or life.mailbox.mail:
             match mail := await life.mailbox.get():
                 case i.Attempt() | i.Fetch():
                     life.attempts.append(None)
@@ -254,7 +276,7 @@
             outcome = Outcome(i.Status.ERROR)
         else:
             outcome = task.result()
-        life.mailbox.put_nowait(Ended(member, number, outcome, self.now() - begun))
+        life.mailbox.put(Ended(member, number, outcome, self.now() - begun))
 
     def _report(self, life: Life, ended: Ended) -> None:
         outcome = ended.outcome
--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -18,7 +18,7 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Request:
     """One client request. Its time runs from `arrived_us`, when its last byte came."""
 
@@ -35,7 +35,7 @@
     tenant: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Answer:
     verdict: Verdict
     body: bytes = b""
@@ -45,7 +45,7 @@
     member: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Order:
     """One attempt as the module ordered it. A `source` of None: nothing is filled."""
 
@@ -60,7 +60,7 @@
     """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Outcome:
     status: i.Status
     detail: i.Detail = i.Detail.NONE
--- a/onyxwick/interface.py
+++ b/onyxwick/interface.py
@@ -1,7 +1,8 @@
 """The types that onyxwick's decisions are spoken in: settings, events and actions. Types only.
 
 All times are whole microseconds of the caller's clock. A *member* is anything on the list that can
-take attempts or fills: a cache, a parent (the tier behind the caches) or the origin.
+take attempts or fills: a cache, a parent (the tier behind the caches) or the origin. What is made for
+each request is not frozen, which would triple the cost of making it.
 """
 
 from __future__ import annotations
@@ -180,7 +181,7 @@
     version: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RequestArrived:
     request: str
     class_name: str
@@ -194,7 +195,7 @@
     tenant: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AttemptEnded:
     request: str
     attempt: int
@@ -215,7 +216,7 @@
     latency_us: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ClientLeft:
     request: str
 
@@ -229,7 +230,7 @@
     age_us: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class TimerFired:
     token: str
 
@@ -261,7 +262,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempt:
     """Ask a member for what it holds (the origin: everything). `timeout_us` 0: till the client leaves."""
 
@@ -270,7 +271,7 @@
     timeout_us: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Fetch:
     """An attempt with orders for a miss: the source, the rank of the copy (0: none), the oldest age that
     will do (0: the class's lifetime) and the manner. A source equal to the member: no fill."""
@@ -284,24 +285,24 @@
     flags: FillFlag = FillFlag.NONE
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Cancel:
     request: str
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Fail:
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Refuse:
     request: str
     retry_after_us: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SetTimer:
     at_us: int
     token: str
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -20,6 +20,8 @@
 log = logging.getLogger(__name__)
 LINGER_S = 0.75  # after SIGTERM connections and requests still come for so long
 
+GC_EVERY = 20_000  # new objects between collections
+
 
 class State(Enum):
     STARTING = "starting"
@@ -70,7 +72,9 @@
             side = [
                 loop.create_task(self.coordinator.follow(self.config.coordinator)),
                 loop.create_task(self.caches.sweep()),
+                loop.create_task(self.front.sweep()),
             ]
+            gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
             gc.freeze()  # what lives from the start need not be looked through again
             accepting = loop.create_task(self.front.accept(sock))
             self._enter(State.SERVING)
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -137,7 +137,10 @@
         self.classes = {c.name: c for c in settings.classes}
         self.peers: dict[str, Peer] = {}  # everything listed
         self.caches: list[Peer] = []
-        self.boxes = 0  # most caches that this location had
+        self.boxes, self.link = (
+            1,
+            0.0,
+        )  # most caches that this location had, its link in transfers if to be used
         self.others: dict[str, list[Peer]] = {}  # caches of other locations
         self.parents: list[Peer] = []
         self.origin: Peer | None = None
@@ -228,6 +231,9 @@
         own = (self.set.parent_kind, self.set.origin_kind)
         self.caches = [p for p in ready if p.info.zone == self.set.zone and p.info.kind not in own]
         self.boxes = max(self.boxes, len(self.caches))
+        if self.set.weights == "off" and self.set.pace_kb_per_s:
+            wider = max(1.0, math.sqrt(LINK_FOR / self.boxes))
+            self.link = self.set.link_kb_per_s / self.set.pace_kb_per_s / wider
         self.parents = [p for p in ready if p.info.kind == self.set.parent_kind]
         self.others = {}
         for p in ready:
@@ -305,13 +311,13 @@
         A link into a location is sized by what its caches draw and a parent by so many such links. Could hurt
         where caches are very unequal: `room` then learns each one's share.
         """
-        weight = peer.info.weight if peer.info.weight > 0 else 1.0
-        if self.set.weights != "off" or not self.set.link_kb_per_s or not self.set.pace_kb_per_s:
-            return weight
-        link = self.set.link_kb_per_s / self.set.pace_kb_per_s
-        boxes = max(1, self.boxes)
-        link /= max(1.0, math.sqrt(LINK_FOR / boxes))
-        return link * PARENT_LINK if peer.info.kind == self.set.parent_kind else link / DRAWN / boxes
+        if not self.link:
+            return peer.info.weight if peer.info.weight > 0 else 1.0
+        return (
+            self.link * PARENT_LINK
+            if peer.info.kind == self.set.parent_kind
+            else self.link / DRAWN / self.boxes
+        )
 
     def _tier(self, peer: Peer) -> tuple[float, int, float, int]:
         """Cold start, its rise, the overload multiple and the routers that share a member of this tier."""
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -14,7 +14,7 @@
 from onyxwick.core.model import Order, Outcome
 from onyxwick.counters import Counters
 from onyxwick.net import resp
-from onyxwick.net.outbox import Outbox, Parcel, Progress
+from onyxwick.net.outbox import Outbox, Parcel, Progress, Tally
 
 log = logging.getLogger(__name__)
 LINKS = 12  # connections to one member: answers on one come one behind the other
@@ -122,7 +122,7 @@
         self.heard_at = self.used_at = time.monotonic()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
-        self.outbox = Outbox(self.sock, STALLED_S)
+        self.outbox = Outbox(self.sock, caches.tally)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def drop(self) -> None:
@@ -149,6 +149,10 @@
         self.calls.pop(call.id, None)
         call.settle(Outcome(i.Status.NOT_SENT))
 
+    def expire(self, call: Call) -> None:
+        if not call.result.done():
+            call.settle(Outcome(self.give_up(call)))
+
     def give_up(self, call: Call) -> i.Status:
         """Stop an attempt whose time is over or that was called off; tells how it ended."""
         if self.calls.get(call.id) is not call:
@@ -222,6 +226,7 @@
             unsent = call.parcel.progress in (Progress.WAITING, Progress.DROPPED)
             never = i.Status.NOT_SENT if self.up else i.Status.CONNECT_FAILED
             call.settle(Outcome(never if unsent else failed))
+        self.outbox.close()
 
 
 class Caches:
@@ -240,6 +245,7 @@
         self.most_links = most_links
         self.links: dict[str, list[Link]] = {}
         self.count = 0
+        self.tally = Tally()
         members.watchers.append(self.member_changed)
 
     async def run(self, order: Order) -> Outcome:
@@ -253,14 +259,14 @@
             log.warning("no socket for %s: %s", order.member, error)
             return Outcome(i.Status.NOT_SENT)
         call = link.call(order)
+        limit = asyncio.get_running_loop().call_later(order.timeout_us / 1e6, link.expire, call)
         try:
-            async with asyncio.timeout(order.timeout_us / 1e6):
-                return await call.result
-        except TimeoutError:
-            return Outcome(link.give_up(call))
+            return await call.result
         except asyncio.CancelledError:
             link.give_up(call)
             raise
+        finally:
+            limit.cancel()
 
     def _link(self, member: str, address: tuple[str, int], request_id: bytes) -> Link:
         """An unused connection, a new one, or the least used."""
@@ -301,9 +307,12 @@
         """Close what is idle, or retired and empty."""
         while True:
             await asyncio.sleep(1.0)
-            before = time.monotonic() - IDLE_S
+            now = time.monotonic()
+            before = now - IDLE_S
             for links in list(self.links.values()):
                 for link in links:
+                    if link.outbox.stalled(now, STALLED_S):
+                        link.drop()
                     if not link.calls and not link.outbox.pending and (link.retired or link.used_at < before):
                         link.drop()
 
--- a/onyxwick/net/fastcgi.py
+++ b/onyxwick/net/fastcgi.py
@@ -89,26 +89,30 @@
     return b"".join((*parts, record(Type.STDOUT, number, b""), end_request(number)))
 
 
-def _length(data: bytes | bytearray, at: int) -> tuple[int, int]:
+def _length(data: bytes, at: int) -> tuple[int, int]:
     if data[at] < 128:
         return data[at], at + 1
     return int.from_bytes(data[at : at + 4], "big") & 0x7FFFFFFF, at + 4
 
 
-def read_pairs(data: bytes | bytearray) -> dict[bytes, bytes]:
+def read_pairs(data: bytes) -> dict[bytes, bytes]:
     """Name-value pairs; ValueError where the lengths don't fit the data."""
-    pairs, at = {}, 0
-    while at < len(data):
-        try:
-            size, at = _length(data, at)
-            value_size, at = _length(data, at)
-        except IndexError:
-            raise ValueError("cut name-value pair") from None
-        end = at + size + value_size
-        if end > len(data):
-            raise ValueError("cut name-value pair")
-        pairs[bytes(data[at : at + size])] = bytes(data[at + size : end])
-        at = end
+    pairs, at, whole = {}, 0, len(data)
+    try:
+        while at < whole:
+            size, value_size = data[at], data[at + 1]
+            if size < 128 and value_size < 128:  # nearly always
+                at += 2
+            else:
+                size, at = _length(data, at)
+                value_size, at = _length(data, at)
+            middle = at + size
+            at = middle + value_size
+            pairs[data[middle - size : middle]] = data[middle:at]
+    except IndexError:
+        raise ValueError("cut name-value pair") from None
+    if at > whole:
+        raise ValueError("cut name-value pair")
     return pairs
 
 
@@ -204,7 +208,7 @@
             partial.body += content
             return None
         try:
-            pairs = read_pairs(partial.params)
+            pairs = read_pairs(bytes(partial.params))
         except ValueError as error:
             return self._reject(number, "400 Bad Request", str(error))
         del self.partial[number]
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import re
 import socket
 import time
 from collections.abc import Callable
@@ -12,7 +13,7 @@
 from onyxwick.core import Answer, Core, Request, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi
-from onyxwick.net.outbox import Outbox, Parcel
+from onyxwick.net.outbox import Outbox, Parcel, Tally
 
 log = logging.getLogger(__name__)
 STALLED_S = 10.0  # a client that takes nothing for so long is cut off
@@ -35,33 +36,39 @@
     return sock
 
 
-def read_request(params: dict[str, str], body: bytes, now: int) -> Request:
-    """The core request that a call asks for; ValueError names the field that cannot be used."""
+_HEX16 = re.compile(r"[0-9a-fA-F]{16}").fullmatch
+_PLAIN = re.compile(r"[^,= \r\n]*").fullmatch  # what may stand in a field of the caches' protocol
+
+
+def _hexadecimal(params: dict[str, str], name: str) -> str:
+    text = params.get(name, "")
+    if not _HEX16(text):
+        raise ValueError(f"bad {name}")
+    return text
+
 
-    def whole(name: str, least: int, most: int) -> int:
-        text = params.get(f"HTTP_{name}", "")
-        if not (text.isascii() and text.isdigit()) or not least <= int(text[:12]) <= most:
-            raise ValueError(f"bad {name}")
-        return int(text)
+def _whole(params: dict[str, str], name: str, least: int, most: int) -> int:
+    text = params.get(name, "")
+    if not (text.isascii() and text.isdigit()) or not least <= int(text[:12]) <= most:
+        raise ValueError(f"bad {name}")
+    return int(text)
 
-    def hexadecimal(name: str) -> str:
-        text = params.get(f"HTTP_{name}", "")
-        if len(text) != 16 or not all(c in "0123456789abcdefABCDEF" for c in text):
-            raise ValueError(f"bad {name}")
-        return text
+
+def read_request(params: dict[str, str], body: bytes, now: int) -> Request:
+    """The core request that a call asks for; ValueError names the field that cannot be used."""
 
     class_name = params["SCRIPT_NAME"].removeprefix("/call/")
     held = params.get("HTTP_X_GOT", "").strip('"')
-    if any(c in held for c in ",= \r\n") or any(c in class_name for c in ",= \r\n"):
+    if not _PLAIN(held) or not _PLAIN(class_name):
         raise ValueError("bad X_GOT or class")
     return Request(
-        id=hexadecimal("X_REQUEST_ID"),
+        id=_hexadecimal(params, "HTTP_X_REQUEST_ID"),
         class_name=class_name,
-        object=hexadecimal("X_OBJECT"),
-        part=whole("X_NTH", 0, 1 << 31) if "HTTP_X_NTH" in params else 0,
-        group=whole("X_BATCH", 0, 255) if "HTTP_X_BATCH" in params else None,
+        object=_hexadecimal(params, "HTTP_X_OBJECT"),
+        part=_whole(params, "HTTP_X_NTH", 0, 1 << 31) if "HTTP_X_NTH" in params else 0,
+        group=_whole(params, "HTTP_X_BATCH", 0, 255) if "HTTP_X_BATCH" in params else None,
         arrived_us=now,
-        timeout_us=whole("X_TIMEOUT_MS", 1, 3_600_000) * 1000,
+        timeout_us=_whole(params, "HTTP_X_TIMEOUT_MS", 1, 3_600_000) * 1000,
         repeat=params.get("HTTP_X_RETRY") == "1",
         body=body,
         held_tag=held,
@@ -85,7 +92,7 @@
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self.front, self.sock = front, sock
         self.parser = fastcgi.Parser()
-        self.outbox = Outbox(sock, STALLED_S)
+        self.outbox = Outbox(sock, front.tally)
         self.open: dict[int, str] = {}  # FastCGI number: request id
         self.ending = False  # the client wants it closed after the answer
         self.used_at = time.monotonic()
@@ -99,13 +106,14 @@
                 task.result()
         except fastcgi.FramingError as error:
             self.front.bad(str(error))
-        except (OSError, TimeoutError):
+        except OSError:
             self.front.counters.add("client.broken")
         finally:
             writer.cancel()
             reader.cancel()
             await asyncio.gather(writer, reader, return_exceptions=True)
             self.sock.close()
+            self.outbox.close()
             for request_id in self.open.values():
                 self.front.core.leave(request_id)
 
@@ -154,7 +162,7 @@
         except ValueError as error:
             self.front.bad(str(error))
             return self._send(call.number, fastcgi.answer(call.number, "400 Bad Request", {}, b""))
-        if self.front.held() > HELD_BYTES:
+        if self.front.tally.held > HELD_BYTES:
             self.front.counters.add("answer.overloaded")
             return self._send(call.number, fastcgi.end_request(call.number, fastcgi.Protocol.OVERLOADED))
         self.open[call.number] = request.id
@@ -173,13 +181,21 @@
         self.core, self.counters, self.ready = core, counters, ready
         self.clients: dict[Client, asyncio.Task[None]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.tally = Tally()
 
     def bad(self, text: str) -> None:
         self.counters.add("bad.client")
         log.warning("bad input of a client: %s", text)
 
-    def held(self) -> int:
-        return sum(client.outbox.pending for client in self.clients)
+    async def sweep(self) -> None:
+        """Cut off clients that take nothing of what is written to them."""
+        while True:
+            await asyncio.sleep(1.0)
+            now = time.monotonic()
+            for client, task in list(self.clients.items()):
+                if client.outbox.stalled(now, STALLED_S):
+                    self.counters.add("client.stalled")
+                    task.cancel()
 
     def start(self, request: Request, reply: Callable[[Answer], None]) -> None:
         self._keep(asyncio.get_running_loop().create_task(self.core.serve(request, reply)))
--- a/onyxwick/net/outbox.py
+++ b/onyxwick/net/outbox.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -31,27 +32,41 @@
         self.progress = Progress.WAITING
 
 
+class Tally:
+    """Bytes waiting to be written, over all connections that share it."""
+
+    __slots__ = ("held",)
+
+    def __init__(self) -> None:
+        self.held = 0
+
+
 class Outbox:
     """Writes parcels in order, so that cancelling whoever posted one never cuts another in two.
 
-    `stalled_s` bounds how long one slice may take: a peer that reads nothing is cut off.
+    What waits goes out in one write. `stalled` tells of a peer that takes nothing: its connection is cut off
+    by whoever sweeps, as a timer for each write would cost more than the write.
     """
 
     SLICE = 65_536
 
-    def __init__(self, sock: socket.socket, stalled_s: float) -> None:
-        self.sock, self.stalled_s = sock, stalled_s
+    def __init__(self, sock: socket.socket, tally: Tally) -> None:
+        self.sock, self.tally = sock, tally
         self.queue: deque[Parcel] = deque()
         self.pending = 0  # bytes posted and not yet written
-        self.more = asyncio.Event()
+        self.writing_since = 0.0  # when the write under way began, or 0
+        self.more: asyncio.Future[None] | None = None
         self.drained = asyncio.Event()
         self.drained.set()
 
     def post(self, parcel: Parcel) -> Parcel:
+        if not self.queue and not self.pending:
+            self.drained.clear()
         self.queue.append(parcel)
         self.pending += len(parcel.data)
-        self.drained.clear()
-        self.more.set()
+        self.tally.held += len(parcel.data)
+        if self.more is not None and not self.more.done():
+            self.more.set_result(None)
         return parcel
 
     def withdraw(self, parcel: Parcel) -> bool:
@@ -61,13 +76,29 @@
             self._finish(parcel, Progress.DROPPED)
         return parcel.progress is Progress.DROPPED
 
+    def stalled(self, now: float, most_s: float) -> bool:
+        return bool(self.writing_since) and now - self.writing_since > most_s
+
     async def run(self) -> None:
-        """Write until the connection breaks (OSError, TimeoutError) or this is cancelled."""
+        """Write until the connection breaks (OSError) or this is cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            while not self.queue:
-                self.more.clear()
-                await self.more.wait()
+            if not self.queue:
+                self.more = loop.create_future()
+                await self.more
+            batch = self._batch()
+            data = batch[0].data if len(batch) == 1 else b"".join([parcel.data for parcel in batch])
+            for at in range(0, len(data), self.SLICE):
+                self.writing_since = time.monotonic()
+                await loop.sock_sendall(self.sock, data[at : at + self.SLICE])
+            self.writing_since = 0.0
+            for parcel in batch:
+                self._finish(parcel, Progress.WRITTEN)
+
+    def _batch(self) -> list[Parcel]:
+        """The parcels that go out now, each one checked at this moment."""
+        batch, size = list[Parcel](), 0
+        while self.queue and size < self.SLICE:
             parcel = self.queue.popleft()
             if parcel.check is not None and not parcel.check():
                 self._finish(parcel, Progress.DROPPED)
@@ -75,15 +106,21 @@
                     parcel.dropped()
                 continue
             parcel.progress = Progress.BEGUN
-            view = memoryview(parcel.data)
-            for at in range(0, len(view), self.SLICE):
-                async with asyncio.timeout(self.stalled_s):
-                    await loop.sock_sendall(self.sock, view[at : at + self.SLICE])
-            self._finish(parcel, Progress.WRITTEN)
+            size += len(parcel.data)
+            batch.append(parcel)
+        return batch
 
     def _finish(self, parcel: Parcel, progress: Progress) -> None:
         parcel.progress = progress
         self.pending -= len(parcel.data)
+        self.tally.held -= len(parcel.data)
         parcel.data = b""
-        if not self.queue and self.pending == 0:
+        if not self.queue and not self.pending:
             self.drained.set()
+
+    def close(self) -> None:
+        """Nothing more will be written; what waited holds no memory of the tally."""
+        self.tally.held -= self.pending
+        self.pending = 0
+        self.queue.clear()
+        self.drained.set()
