--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -73,6 +73,7 @@
     mailbox: Mailbox = field(default_factory=Mailbox)
     attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
     gone: bool = False
+    transport: Transport | None = None  # a front's own way of carrying out attempts
 
 
 class Core:
@@ -143,14 +144,16 @@
 
     # ---- one request ------------------------------------------------------------------------------------
 
-    async def serve(self, request: Request, reply: Callable[[Answer], None]) -> None:
+    async def serve(
+        self, request: Request, reply: Callable[[Answer], None], transport: Transport | None = None
+    ) -> None:
         """A request's whole life. `reply` is called once, or never if the client has left."""
         if request.id in self.lives or len(self.lives) >= MAX_OPEN:
             known = request.id in self.lives
             self.counters.add("answer.duplicate" if known else "answer.overloaded")
             reply(Answer(Verdict.FAILED if known else Verdict.REFUSED))
             return
-        life = Life(request)
+        life = Life(request, transport=transport)
         self.lives[request.id] = life
         self.idle.clear()
         try:
@@ -194,7 +197,13 @@
                     case Ended(outcome=outcome):
                         self._report(life, mail)
                         if outcome.status is i.Status.OK:
-                            return Answer(Verdict.SERVED, outcome.body, outcome.tag, outcome.unchanged)
+                            return Answer(
+                                Verdict.SERVED,
+                                outcome.body,
+                                outcome.tag,
+                                outcome.unchanged,
+                                member=mail.member,
+                            )
                     case i.Refuse(_, after):
                         return Answer(Verdict.REFUSED, retry_after_us=after)
                     case i.Fail():
@@ -238,7 +247,7 @@
 
     def _start(self, life: Life, action: i.Attempt | i.Fetch) -> None:
         order, number, begun = self._order(life.request, action), len(life.attempts), self.now()
-        task = asyncio.get_running_loop().create_task(self.transport.run(order))
+        task = asyncio.get_running_loop().create_task((life.transport or self.transport).run(order))
         life.attempts.append(task)
         self.counters.add("attempt.sent")
         # Not an await around `run`: a task cancelled before its first step would leave no outcome.
@@ -280,13 +289,15 @@
 
     def _report(self, life: Life, ended: Ended) -> None:
         outcome = ended.outcome
-        self.counters.add(f"outcome.{outcome.status.value}")
+        # What nobody saw the end of is told as a cancelled attempt: it may have run, and teaches nothing.
+        status = i.Status.CANCELLED if outcome.untold else outcome.status
+        self.counters.add(f"outcome.{status.value}")
         self.tell(
             i.AttemptEnded(
                 request=life.request.id,
                 attempt=ended.number,
                 member=ended.member,
-                status=outcome.status,
+                status=status,
                 latency_us=ended.latency_us,
                 final=outcome.status is i.Status.OK,
                 detail=outcome.detail,
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from onyxwick.config import Config
 from onyxwick.core import Core
@@ -17,6 +18,9 @@
 from onyxwick.net.caches import Caches
 from onyxwick.net.coordinator import Coordinator
 
+if TYPE_CHECKING:
+    from onyxwick.dns.config import DnsConfig
+
 log = logging.getLogger(__name__)
 LINGER_S = 0.75  # after SIGTERM connections and requests still come for so long
 
@@ -31,8 +35,8 @@
 
 
 class Director:
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, names: DnsConfig | None = None) -> None:
+        self.config, self.names = config, names
         self.state = State.STARTING
         self.counters, self.members = Counters(), Members()
         self.leaving = asyncio.Event()
@@ -74,6 +78,11 @@
                 loop.create_task(self.caches.sweep()),
                 loop.create_task(self.front.sweep()),
             ]
+            if self.names is not None:
+                # Loaded only where it is wanted: its library takes memory.
+                from onyxwick.dns.server import DnsFront
+
+                side.append(loop.create_task(DnsFront(self.core, self.counters, self.names).run()))
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
             gc.freeze()  # what lives from the start need not be looked through again
             accepting = loop.create_task(self.front.accept(sock))
