--- a/onyxwick/dns/server.py
+++ b/onyxwick/dns/server.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from typing import cast
 
 import dns.exception
 import dns.flags
@@ -306,8 +307,8 @@
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self.transport = transport
+        # No isinstance here: uvloop's UDP transport is none of asyncio's classes, it only has their methods.
+        self.transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
         assert self.transport is not None
