Count late requests to drained boxes named over DNS; mend the serial of updates

Seen on loopback with stand-in resolvers and clients: a resolver that heeds TTL 0 sends 0 requests to a drained box later than 500 ms after it was told, and the front names it no more from that moment. A resolver that keeps answers for a minute goes on sending to it: each late request comes from a kept answer, none from a naming. A box that comes back cold is named within its budget and the module learns neither latency nor hits. Found by the test of signed updates: update_serial() looked for the SOA at the empty name (dns/update.py), so every change ended in SERVFAIL.

--- a/onyxwick/dns/update.py
+++ b/onyxwick/dns/update.py
@@ -109,4 +109,4 @@
             else:
                 _add(txn, zone, change)
         if txn.changed() and txn.get(zone.name, dns.rdatatype.SOA) == before:
-            txn.update_serial()
+            txn.update_serial(name=zone.name)  # names are absolute here
--- /dev/null
+++ b/tests/test_dns_routing.py
@@ -0,0 +1,188 @@
+"""Routing by name on loopback: stand-in resolvers and clients, and a count of what reaches each box late."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import dns.asyncquery
+import dns.message
+import dns.rcode
+import dns.tsigkeyring
+import dns.update
+
+from onyxwick import interface as i
+from onyxwick.core import Core
+from onyxwick.core.members import Members
+from onyxwick.counters import Counters
+from onyxwick.dns.config import DnsConfig, load
+from onyxwick.dns.naming import Naming
+from onyxwick.dns.server import DnsFront
+from tests.exchange import DNS, FOLDER
+from tests.world import SETTINGS, member
+
+BOXES = {f"c{n}": (f"127.77.2.{n + 1}", 15071) for n in range(3)}
+GRACE_S = 0.5
+NAME = "{}.7f3a9c21e0b4d655.chunk.route.depot.test."
+
+
+class Depot:
+    """A core with the DNS front before it, and boxes that count when they are asked."""
+
+    def __init__(self) -> None:
+        self.members, self.counters = Members(), Counters()
+        self.core = Core(SETTINGS, 7, Naming(), self.members, self.counters)
+        config = load(FOLDER / "dns.toml")
+        assert isinstance(config, DnsConfig)
+        self.front = DnsFront(self.core, self.counters, config)
+        self.asked: dict[str, list[float]] = {box: [] for box in BOXES}
+
+    def told(self, *rows: i.Member, kind: i.ListKind = i.ListKind.CHANGE) -> None:
+        self.core.list_changed(i.MembersChanged(kind, rows), {**BOXES, "p0": ("127.77.2.9", 15071)})
+
+    async def run(self, scene: Callable[[Depot], Awaitable[None]]) -> None:
+        def box(name: str) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]:
+            def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                self.asked[name].append(time.monotonic())
+                writer.close()
+
+            return serve
+
+        servers = [await asyncio.start_server(box(name), *address) for name, address in BOXES.items()]
+        front = asyncio.create_task(self.front.run())
+        self.told(*(member(name) for name in BOXES), member("p0", "parent", "hub"), kind=i.ListKind.FULL)
+        await asyncio.sleep(0)
+        try:
+            await scene(self)
+        finally:
+            front.cancel()
+            await asyncio.gather(front, return_exceptions=True)
+            for server in servers:
+                server.close()
+
+
+def play(scene: Callable[[Depot], Awaitable[None]]) -> None:
+    async def main() -> None:
+        await Depot().run(scene)  # made where the loop runs: the core sets its first timer at once
+
+    asyncio.run(main())
+
+
+class Resolver:
+    """A stand-in resolver. One that keeps answers too long uses each for `keeps_s`, whatever its TTL says."""
+
+    def __init__(self, keeps_s: float = 0.0) -> None:
+        self.keeps_s = keeps_s
+        self.kept: dict[str, tuple[float, str]] = {}
+        self.named: list[tuple[float, str]] = []  # fresh answers of the front
+        self.stale = 0  # answers from the cache
+
+    async def address(self, name: str) -> str:
+        now = time.monotonic()
+        if name in self.kept and now < self.kept[name][0]:
+            self.stale += 1
+            return self.kept[name][1]
+        answer = await dns.asyncquery.udp(dns.message.make_query(name, "A"), DNS[0], 10, DNS[1])
+        (rrset,) = answer.answer
+        assert rrset.ttl == 0
+        self.kept[name] = (now + max(rrset.ttl, self.keeps_s), rrset[0].address)
+        self.named.append((time.monotonic(), rrset[0].address))
+        return str(rrset[0].address)
+
+
+async def client(resolver: Resolver, part: int) -> None:
+    """A tablet: resolves the name of a part and asks the box that was named."""
+    address = await resolver.address(NAME.format(part))
+    _, writer = await asyncio.open_connection(address, BOXES["c0"][1])
+    writer.close()
+
+
+async def _drain(depot: Depot, resolver: Resolver) -> tuple[str, float]:
+    """Ask for parts until c0 has been named, drain it, ask on; the box and the moment it was told."""
+    for part in range(24):
+        await client(resolver, part)
+    depot.told(replace(member("c0"), state=i.State.DRAINING))
+    return "c0", time.monotonic()
+
+
+def _late(times: list[float], told: float) -> int:
+    return sum(at > told + GRACE_S for at in times)
+
+
+def test_a_drained_box_is_named_no_more_and_honest_resolvers_send_nothing_late() -> None:
+    async def scene(depot: Depot) -> None:
+        resolver = Resolver()
+        box, told = await _drain(depot, resolver)
+        assert depot.asked[box]
+        while time.monotonic() < told + GRACE_S + 0.2:
+            await asyncio.gather(*(client(resolver, part) for part in range(24)))
+        assert not [at for at, address in resolver.named if at > told and address == BOXES[box][0]]
+        assert _late(depot.asked[box], told) == 0
+
+    play(scene)
+
+
+def test_what_a_resolver_keeps_too_long_reaches_a_drained_box_and_is_counted() -> None:
+    """What naming alone cannot prevent: every late request comes from a kept answer, none from a naming."""
+
+    async def scene(depot: Depot) -> None:
+        resolver = Resolver(keeps_s=60.0)
+        box, told = await _drain(depot, resolver)
+        kept = [part for part in range(24) if resolver.kept[NAME.format(part)][1] == BOXES[box][0]]
+        await asyncio.sleep(GRACE_S + 0.1)
+        before, resolver.stale = len(depot.asked[box]), 0
+        for part in range(24):
+            await client(resolver, part)
+        while len(depot.asked[box]) < before + len(kept):  # the box counts when it accepts
+            await asyncio.sleep(0.01)
+        assert resolver.stale == 24 and _late(depot.asked[box], told) == len(kept) > 0
+        assert not [at for at, address in resolver.named if at > told and address == BOXES[box][0]]
+
+    play(scene)
+
+
+def test_a_box_that_comes_back_cold_is_named_within_its_budget() -> None:
+    """Namings are charged to the cold budget: a flood of names does not all go to the empty box."""
+
+    async def scene(depot: Depot) -> None:
+        depot.told(replace(member("c0"), since_us=depot.core.now()))
+        resolver = Resolver()
+        for part in range(150):
+            await client(resolver, part)
+        cold = sum(address == BOXES["c0"][0] for _, address in resolver.named)
+        peer = depot.core.router.peers["c0"]
+        rules, work = SETTINGS.rules, 250_000.0  # first guess of a chunk's sending: half its aim
+        most = rules.overload_multiple * peer.info.weight * rules.cold_start * rules.overload_window_us * 1.3
+        assert 0 < cold * work <= most and len(peer.spent) == cold
+        # A naming teaches neither latency nor hits.
+        assert depot.core.router.answers == [0, 0] and not depot.core.router.hits
+
+    play(scene)
+
+
+def test_a_signed_update_changes_the_zone_and_raises_its_serial() -> None:
+    async def ask(message: dns.message.Message) -> dns.message.Message:
+        return await dns.asyncquery.udp(message, DNS[0], 10, DNS[1])
+
+    async def scene(_: Depot) -> None:
+        key = dns.tsigkeyring.from_text({"update.depot.test.": "b255eHdpY2stdGVzdC1rZXk="})
+        change = dns.update.UpdateMessage("depot.test.", keyring=key)
+        change.absent("new")
+        change.add("new", 60, "A", "127.77.9.9")
+        assert (await ask(change)).rcode() == dns.rcode.NOERROR
+        soa = await ask(dns.message.make_query("depot.test.", "SOA"))
+        assert soa.answer[0][0].serial == 8
+        found = await ask(dns.message.make_query("new.depot.test.", "A"))
+        assert found.answer[0][0].address == "127.77.9.9"
+        # The same again: its prerequisite fails, and nothing of it is done.
+        change.add("other", 60, "A", "127.77.9.9")
+        assert (await ask(change)).rcode() == dns.rcode.YXDOMAIN
+        other = await ask(dns.message.make_query("other.depot.test.", "A"))
+        assert other.rcode() == dns.rcode.NXDOMAIN
+        foreign = dns.update.UpdateMessage("depot.test.", keyring=key)
+        foreign.add("0.7f3a9c21e0b4d655.chunk.route", 60, "A", "127.77.9.9")
+        assert (await ask(foreign)).rcode() == dns.rcode.REFUSED
+
+    play(scene)
