--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -107,20 +107,15 @@
 
     def tell(self, *events: i.Event) -> None:
         for action in self.router.handle(self.now(), list(events)):
-            self._carry_out(action)
-
-    def _carry_out(self, action: i.Action) -> None:
-        match action:
-            case i.SetTimer(at, token):
-                delay = max(0, at - self.now()) / 1e6
-                asyncio.get_running_loop().call_later(delay, self._timer, at, token)
-            case i.Log(text):
-                log.info("module: %s", text)
-            case i.Subscribe() | i.AskList():
+            if isinstance(action, i.SetTimer):
+                delay = max(0, action.at_us - self.now()) / 1e6
+                asyncio.get_running_loop().call_later(delay, self._timer, action.at_us, action.token)
+            elif isinstance(action, i.Log):
+                log.info("module: %s", action.text)
+            elif isinstance(action, i.Subscribe | i.AskList):
                 pass  # the coordinator's events come unasked
-            case _:
-                if life := self.lives.get(action.request):
-                    life.mailbox.put(action)
+            elif life := self.lives.get(action.request):
+                life.mailbox.put(action)
 
     def _timer(self, at: int, token: str) -> None:
         # A timer never reaches the module early: it would find nothing due and not ask again.
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -418,8 +418,9 @@
             self.turn ^= 1
             if self.turn:
                 order[:2] = order[1::-1]
-        tried = [f.peer for f in job.flights if not f.missed]
-        order = [p for p in order if p not in tried] + [p for p in order if p in tried]
+        if job.flights:
+            tried = [f.peer for f in job.flights if not f.missed]
+            order = [p for p in order if p not in tried] + [p for p in order if p in tried]
         for peer in order:
             if peer.ejected and (kind.repeat is not i.Repeat.SAFE or job.flights):
                 continue  # trials are for first attempts that can be repeated
--- a/onyxwick/net/fastcgi.py
+++ b/onyxwick/net/fastcgi.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
+from functools import lru_cache
 
 from onyxwick.net.buffer import Buffer
 
@@ -25,6 +26,9 @@
     )
 
 
+BEGIN, ABORT, PARAMS, STDIN = (int(kind) for kind in (Type.BEGIN, Type.ABORT, Type.PARAMS, Type.STDIN))
+
+
 class Protocol(IntEnum):
     """The protocol status of END_REQUEST."""
 
@@ -41,7 +45,7 @@
 
     number: int
     keep: bool
-    params: dict[str, str]
+    params: dict[bytes, bytes]
     body: bytes
 
 
@@ -81,12 +85,24 @@
     return record(Type.END, number, END_BODY.pack(app, status))
 
 
+@lru_cache(maxsize=MAX_OPEN * 4)
+def _tail(number: int) -> bytes:
+    return record(Type.STDOUT, number, b"") + end_request(number)
+
+
 def answer(number: int, status: str, headers: dict[str, str], body: bytes) -> bytes:
     """A CGI response in STDOUT records, closed by END_REQUEST."""
-    lines = [f"Status: {status}", *(f"{k}: {v}" for k, v in headers.items())]
-    content = "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode() + body
-    parts = [record(Type.STDOUT, number, content[at : at + SLICE]) for at in range(0, len(content), SLICE)]
-    return b"".join((*parts, record(Type.STDOUT, number, b""), end_request(number)))
+    lines = "".join([f"{name}: {value}\r\n" for name, value in headers.items()])
+    head = f"Status: {status}\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode()
+    size = len(head) + len(body)
+    if size <= SLICE:  # nearly always: one record, copied once
+        pad = -size % 8
+        return b"".join(
+            (HEADER.pack(VERSION, Type.STDOUT, number, size, pad), head, body, bytes(pad), _tail(number))
+        )
+    content = head + body
+    parts = [record(Type.STDOUT, number, content[at : at + SLICE]) for at in range(0, size, SLICE)]
+    return b"".join((*parts, _tail(number)))
 
 
 def _length(data: bytes, at: int) -> tuple[int, int]:
@@ -132,16 +148,16 @@
         self.open: set[int] = set()  # whole requests; whoever answers one discards its number
 
     def messages(self) -> Iterator[Message]:
-        buffer = self.buffer
-        while len(buffer) >= HEADER.size:
-            version, kind, number, size, pad = HEADER.unpack_from(buffer.data, buffer.start)
+        buffer, unpack = self.buffer, HEADER.unpack_from
+        while buffer.end - buffer.start >= 8:
+            begin = buffer.start + 8
+            version, kind, number, size, pad = unpack(buffer.data, buffer.start)
             if version != VERSION:
                 raise FramingError(f"FastCGI version {version}")
-            if len(buffer) < HEADER.size + size + pad:
+            if buffer.end < begin + size + pad:
                 return
-            buffer.skip(HEADER.size)
-            content = buffer.take(size)
-            buffer.skip(pad)
+            buffer.start = begin + size + pad
+            content = bytes(buffer.data[begin : begin + size]) if size else b""
             message = self._record(kind, number, content)
             if message is not None:
                 yield message
@@ -149,16 +165,16 @@
     def _record(self, kind: int, number: int, content: bytes) -> Message | None:
         if number == 0:
             return self._management(kind, content)
-        if kind == Type.BEGIN:
+        if kind == BEGIN:
             return self._begin(number, content)
-        if kind == Type.ABORT:
+        if kind == ABORT:
             return self._abort(number)
         partial = self.partial.get(number)
         if partial is None:
             return None  # a record of a request that was refused, aborted or never begun
-        if kind == Type.PARAMS:
+        if kind == PARAMS:
             return self._params(number, partial, content)
-        if kind == Type.STDIN:
+        if kind == STDIN:
             return self._stdin(number, partial, content)
         return None  # DATA is for filters
 
@@ -213,8 +229,7 @@
             return self._reject(number, "400 Bad Request", str(error))
         del self.partial[number]
         self.open.add(number)
-        params = {k.decode("latin-1"): v.decode("latin-1") for k, v in pairs.items()}
-        return Call(number, partial.keep, params, bytes(partial.body))
+        return Call(number, partial.keep, pairs, bytes(partial.body))
 
     def _reject(self, number: int, status: str, fault: str) -> Reply:
         """A request that cannot be read is answered `failed`; its later records are passed over."""
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -36,42 +36,42 @@
     return sock
 
 
-_HEX16 = re.compile(r"[0-9a-fA-F]{16}").fullmatch
-_PLAIN = re.compile(r"[^,= \r\n]*").fullmatch  # what may stand in a field of the caches' protocol
+_HEX16 = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
+_PLAIN = re.compile(rb"[^,= \r\n]*").fullmatch  # what may stand in a field of the caches' protocol
+Params = dict[bytes, bytes]
 
 
-def _hexadecimal(params: dict[str, str], name: str) -> str:
-    text = params.get(name, "")
+def _hexadecimal(params: Params, name: bytes) -> str:
+    text = params.get(name, b"")
     if not _HEX16(text):
-        raise ValueError(f"bad {name}")
-    return text
+        raise ValueError(f"bad {name.decode()}")
+    return text.decode()
 
 
-def _whole(params: dict[str, str], name: str, least: int, most: int) -> int:
-    text = params.get(name, "")
-    if not (text.isascii() and text.isdigit()) or not least <= int(text[:12]) <= most:
-        raise ValueError(f"bad {name}")
+def _whole(params: Params, name: bytes, least: int, most: int) -> int:
+    text = params.get(name, b"")
+    if not text.isdigit() or not least <= int(text[:12]) <= most:
+        raise ValueError(f"bad {name.decode()}")
     return int(text)
 
 
-def read_request(params: dict[str, str], body: bytes, now: int) -> Request:
+def read_request(params: Params, body: bytes, now: int) -> Request:
     """The core request that a call asks for; ValueError names the field that cannot be used."""
-
-    class_name = params["SCRIPT_NAME"].removeprefix("/call/")
-    held = params.get("HTTP_X_GOT", "").strip('"')
+    class_name = params[b"SCRIPT_NAME"].removeprefix(b"/call/")
+    held = params.get(b"HTTP_X_GOT", b"").strip(b'"')
     if not _PLAIN(held) or not _PLAIN(class_name):
         raise ValueError("bad X_GOT or class")
     return Request(
-        id=_hexadecimal(params, "HTTP_X_REQUEST_ID"),
-        class_name=class_name,
-        object=_hexadecimal(params, "HTTP_X_OBJECT"),
-        part=_whole(params, "HTTP_X_NTH", 0, 1 << 31) if "HTTP_X_NTH" in params else 0,
-        group=_whole(params, "HTTP_X_BATCH", 0, 255) if "HTTP_X_BATCH" in params else None,
+        id=_hexadecimal(params, b"HTTP_X_REQUEST_ID"),
+        class_name=class_name.decode("latin-1"),
+        object=_hexadecimal(params, b"HTTP_X_OBJECT"),
+        part=_whole(params, b"HTTP_X_NTH", 0, 1 << 31) if b"HTTP_X_NTH" in params else 0,
+        group=_whole(params, b"HTTP_X_BATCH", 0, 255) if b"HTTP_X_BATCH" in params else None,
         arrived_us=now,
-        timeout_us=_whole(params, "HTTP_X_TIMEOUT_MS", 1, 3_600_000) * 1000,
-        repeat=params.get("HTTP_X_RETRY") == "1",
+        timeout_us=_whole(params, b"HTTP_X_TIMEOUT_MS", 1, 3_600_000) * 1000,
+        repeat=params.get(b"HTTP_X_RETRY") == b"1",
         body=body,
-        held_tag=held,
+        held_tag=held.decode("latin-1"),
     )
 
 
@@ -148,13 +148,13 @@
 
     def _call(self, call: fastcgi.Call) -> None:
         self.ending |= not call.keep
-        name = call.params.get("SCRIPT_NAME", "")
-        if name == "/ping":
+        name = call.params.get(b"SCRIPT_NAME", b"")
+        if name == b"/ping":
             up = self.front.ready()
             return self._send(
                 call.number, fastcgi.answer(call.number, "200 OK" if up else "503 Not Ready", {}, b"")
             )
-        if not name.startswith("/call/"):
+        if not name.startswith(b"/call/"):
             self.front.bad(f"path {name[:64]!r}")
             return self._send(call.number, fastcgi.answer(call.number, "404 Not Found", {}, b""))
         try:
