--- a/onyxwick/net/buffer.py
+++ b/onyxwick/net/buffer.py
@@ -24,7 +24,8 @@
 
     def peek(self, size: int, at: int = 0) -> bytes:
         begin = self.start + at
-        return bytes(self.data[begin : min(begin + size, self.end)])
+        with memoryview(self.data) as whole:  # one copy, where a slice of the bytearray would make two
+            return bytes(whole[begin : min(begin + size, self.end)])
 
     def find(self, mark: bytes, at: int = 0) -> int:
         """Place of `mark` counted from the first unread byte, or -1."""
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from dataclasses import dataclass
+from functools import cache
 
 from onyxwick import interface as i
 from onyxwick.core.members import Members
@@ -50,6 +51,11 @@
 )
 
 
+@cache
+def _hints(flags: i.FillFlag) -> str:
+    return "+".join(word for flag, word in HINTS if flag in flags)
+
+
 def request_bytes(order: Order) -> bytes:
     request = order.request
     out = {
@@ -65,11 +71,11 @@
     if order.max_age_us:
         # Never 0 by rounding: that would ask for the class's fresh time, and let a purged copy pass.
         out["accept"] = str(max(1, order.max_age_us // 1000))
-    if hints := "+".join(word for flag, word in HINTS if flag in order.flags):
-        out["hints"] = hints
+    if order.flags:
+        out["hints"] = _hints(order.flags)
     if request.held_tag:
         out["got"] = request.held_tag
-    fields = ",".join(f"{name}={value}" for name, value in out.items())
+    fields = ",".join([f"{name}={value}" for name, value in out.items()])
     return resp.command(b"REQ", request.id.encode(), fields.encode(), request.body)
 
 
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -198,11 +198,8 @@
                     task.cancel()
 
     def start(self, request: Request, reply: Callable[[Answer], None]) -> None:
-        self._keep(asyncio.get_running_loop().create_task(self.core.serve(request, reply)))
-
-    def _keep(self, task: asyncio.Task[None]) -> None:
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        # No set of tasks: the core holds each request's mailbox, and through it the task, until its end.
+        asyncio.get_running_loop().create_task(self.core.serve(request, reply))  # noqa: RUF006
 
     async def accept(self, sock: socket.socket) -> None:
         """Take in clients until cancelled; being out of descriptors passes."""
@@ -229,7 +226,9 @@
             if task := self.clients.get(client):
                 task.cancel()
 
-        self._keep(asyncio.get_running_loop().create_task(end()))
+        task = asyncio.get_running_loop().create_task(end())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     async def finish(self) -> None:
         """Wait until all that is owed is answered and written, then close every connection."""
--- a/onyxwick/net/resp.py
+++ b/onyxwick/net/resp.py
@@ -7,6 +7,7 @@
 from onyxwick.net.buffer import Buffer
 
 MAX_WORDS, MAX_BULK = 16, 1_048_576  # over these it is no answer of the platform's
+ARRAY, BULK, CR, LF = b"*$\r\n"
 LINE = 32  # longest line with a count or a length
 
 
@@ -32,41 +33,40 @@
             self.need = 1
             yield words
 
-    def _number(self, at: int, mark: bytes, most: int) -> tuple[int, int] | None:
+    def _number(self, at: int, mark: int, most: int) -> tuple[int, int] | None:
         """The count after `mark` at `at`, and where its line ends; None if it has not all come."""
-        if len(self.buffer) <= at:
-            return None
-        end = self.buffer.find(b"\r\n", at)
+        buffer = self.buffer
+        end = buffer.data.find(b"\r\n", at, buffer.end)
         if end < 0:
-            if len(self.buffer) - at > LINE:
+            if buffer.end - at > LINE:
                 raise RespError("line too long")
             return None
-        line = self.buffer.peek(end - at, at)
-        digits = line[1:]
-        if line[:1] != mark or not digits.isdigit() or int(digits) > most:
-            raise RespError(f"bad line {line[:LINE]!r}")
+        digits = buffer.data[at + 1 : end]
+        if buffer.data[at] != mark or not digits.isdigit() or len(digits) > LINE or int(digits) > most:
+            raise RespError(f"bad line {bytes(buffer.data[at:end][:LINE])!r}")
         return int(digits), end + 2
 
     def _array(self) -> list[bytes] | None:
-        head = self._number(0, b"*", MAX_WORDS)
+        buffer = self.buffer
+        head = self._number(buffer.start, ARRAY, MAX_WORDS)
         if head is None:
             return None
         count, at = head
-        spans = []
-        for _ in range(count):
-            bulk = self._number(at, b"$", MAX_BULK)
-            if bulk is None:
-                return None
-            if len(self.buffer) < bulk[1] + bulk[0] + 2:
-                self.need = bulk[1] + bulk[0] + 2
-                return None
-            size, begin = bulk
-            if self.buffer.peek(2, begin + size) != b"\r\n":
-                raise RespError("bulk string without its end")
-            spans.append((begin, size))
-            at = begin + size + 2
-        words = [self.buffer.peek(size, begin) for begin, size in spans]
-        self.buffer.skip(at)
+        words = []
+        with memoryview(buffer.data) as data:
+            for _ in range(count):
+                bulk = self._number(at, BULK, MAX_BULK)
+                if bulk is None:
+                    return None
+                size, begin = bulk
+                at = begin + size + 2
+                if buffer.end < at:
+                    self.need = at - buffer.start
+                    return None
+                if data[at - 2] != CR or data[at - 1] != LF:
+                    raise RespError("bulk string without its end")
+                words.append(bytes(data[begin : begin + size]))
+        buffer.start = at
         return words
 
 
