--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -199,7 +199,7 @@
 
     def start(self, request: Request, reply: Callable[[Answer], None]) -> None:
         # No set of tasks: the core holds each request's mailbox, and through it the task, until its end.
-        asyncio.get_running_loop().create_task(self.core.serve(request, reply))  # noqa: RUF006
+        asyncio.get_running_loop().create_task(self.core.serve(request, reply))
 
     async def accept(self, sock: socket.socket) -> None:
         """Take in clients until cancelled; being out of descriptors passes."""
