Keep two connections to a member in place of twelve

Ruled out: descriptors (581 of 20,000) and unread data on our side (none). Answers come whole, so sharing a connection costs no time.

--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -18,7 +18,7 @@
 from onyxwick.net.outbox import Outbox, Parcel, Progress, Tally
 
 log = logging.getLogger(__name__)
-LINKS = 12  # connections to one member: answers on one come one behind the other
+LINKS = 2  # connections to one member; each carries many requests, and few make for full reads
 SPOILED = 256  # given-up ids on one connection after which it takes no new ones
 IDLE_S = 10.0  # under the time after which the other side closes: no send crosses its close
 STALLED_S = 3.0  # a write that moves nothing for so long means that the machine is gone
