--- a/onyxwick/__main__.py
+++ b/onyxwick/__main__.py
@@ -14,34 +14,34 @@
 from onyxwick.lifecycle import Director
 
 if TYPE_CHECKING:
-    from onyxwick.dns.config import DnsConfig
+    from onyxwick.service import ServiceConfig
 
-DNS_FILE = Path(__file__).parents[1] / "deploy" / "dns.toml"
+SERVICE_FILE = Path(__file__).parents[1] / "deploy" / "service.toml"
 
 
-def _names() -> DnsConfig | None:
-    """The DNS front's configuration, if a file of ours asks for that front. ONYXWICK_DNS names another."""
-    path = Path(os.environ.get("ONYXWICK_DNS") or DNS_FILE)
+def _service() -> ServiceConfig | None:
+    """The hosted service, if a file of ours asks for it. ONYXWICK_SERVICE names another file."""
+    path = Path(os.environ.get("ONYXWICK_SERVICE") or SERVICE_FILE)
     if not path.exists():
         return None
-    from onyxwick.dns.config import load
+    from onyxwick.service import load
 
     return load(path)
 
 
-async def _run(told: config.Config, names: DnsConfig | None) -> None:
-    await Director(told, names).run()
+async def _run(told: config.Config, service: ServiceConfig | None) -> None:
+    await Director(told, service).run()
 
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
     try:
         told = config.load()
-        names = _names()
+        service = _service()
     except config.ConfigError as error:
         print(f"onyxwick: {error}", file=sys.stderr)
         return 2
-    uvloop.run(_run(told, names))
+    uvloop.run(_run(told, service))
     return 0
 
 
--- /dev/null
+++ b/onyxwick/admin/http.py
@@ -0,0 +1,174 @@
+"""Just enough HTTP for the administration API: httptools parses, bounds are kept, one answer a request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import httptools
+import ujson
+
+from onyxwick.counters import Counters
+from onyxwick.net.buffer import Buffer
+from onyxwick.net.front import ACCEPT_PAUSE_S, listen
+
+log = logging.getLogger(__name__)
+MOST_BODY, MOST_HEAD = 524_288, 16_384
+CLIENTS, IDLE_S = 16, 10.0
+REASONS = {
+    200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden",
+    404: "Not Found", 405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large",
+    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+}  # fmt: skip
+
+
+class HttpError(Exception):
+    def __init__(self, status: int, text: str, headers: dict[str, str] | None = None) -> None:
+        super().__init__(text)
+        self.status, self.text, self.headers = status, text, headers or {}
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    method: str = ""
+    path: str = ""
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    def json(self) -> dict[str, object]:
+        try:
+            data = ujson.loads(self.body)
+        except ValueError as error:
+            raise HttpError(400, f"body is no JSON: {error}") from None
+        if not isinstance(data, dict):
+            raise HttpError(400, "body is no JSON object")
+        return data
+
+
+Handler = Callable[[HttpRequest], tuple[int, object]]
+
+
+class _Collector:
+    """What httptools calls while it parses."""
+
+    def __init__(self) -> None:
+        self.request = HttpRequest()
+        self.url = b""
+        self.size = 0
+        self.done: list[HttpRequest] = []
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        self._head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._head(len(name) + len(value))
+        self.request.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def _head(self, size: int) -> None:
+        self.size += size
+        if self.size > MOST_HEAD:
+            raise HttpError(431, "head too large")
+
+    def on_body(self, body: bytes) -> None:
+        self.request.body += body
+        if len(self.request.body) > MOST_BODY:
+            raise HttpError(413, "body too large")
+
+    def on_message_complete(self) -> None:
+        self.request.path = self.url.partition(b"?")[0].decode("latin-1")
+        self.done.append(self.request)
+        self.request, self.url, self.size = HttpRequest(), b"", 0
+
+
+def response(status: int, data: object, headers: dict[str, str] | None = None, close: bool = False) -> bytes:
+    body = b"" if status == 204 else ujson.dumps(data, escape_forward_slashes=False).encode() + b"\n"
+    lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    if status != 204:
+        lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
+    lines += ["Connection: close"] if close else []
+    return "\r\n".join((*lines, "", "")).encode() + body
+
+
+class HttpServer:
+    def __init__(self, address: tuple[str, int], handler: Handler, counters: Counters) -> None:
+        self.address, self.handler, self.counters = address, handler, counters
+        self.clients: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        with listen(self.address) as sock:
+            log.info("administration API on %s:%d", *self.address)
+            try:
+                while True:
+                    try:
+                        conn, _ = await loop.sock_accept(sock)
+                    except OSError as error:
+                        log.warning("accept: %s", error)
+                        await asyncio.sleep(ACCEPT_PAUSE_S)
+                        continue
+                    conn.setblocking(False)
+                    if len(self.clients) >= CLIENTS:
+                        conn.close()
+                        continue
+                    task = loop.create_task(self._client(conn))
+                    self.clients.add(task)
+                    task.add_done_callback(self.clients.discard)
+            finally:
+                for task in self.clients:
+                    task.cancel()
+
+    async def _client(self, conn: socket.socket) -> None:
+        loop, buffer, collector = asyncio.get_running_loop(), Buffer(), _Collector()
+        parser = httptools.HttpRequestParser(collector)
+        with conn, contextlib.suppress(OSError, TimeoutError):
+            while True:
+                async with asyncio.timeout(IDLE_S):
+                    if not await buffer.receive(loop, conn):
+                        return
+                broken = self._parse(parser, collector, buffer.take(len(buffer)))
+                out = [self._answer(request) for request in collector.done]
+                collector.done.clear()
+                if broken is not None:
+                    out.append(response(broken.status, {"error": broken.text}, close=True))
+                async with asyncio.timeout(IDLE_S):
+                    await loop.sock_sendall(conn, b"".join(out))
+                if broken is not None or not parser.should_keep_alive():
+                    return
+
+    def _parse(
+        self, parser: httptools.HttpRequestParser, collector: _Collector, data: bytes
+    ) -> HttpError | None:
+        """Feed the parser; what it cannot read ends the connection, as its framing is lost."""
+        collector.request.method = collector.request.method or ""
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            return cause if isinstance(cause, HttpError) else HttpError(400, "bad request")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.counters.add("bad.admin")
+            log.warning("bad input to the administration API: %s", error)
+            return HttpError(400, "no HTTP request")
+        finally:
+            for request in collector.done:
+                request.method = parser.get_method().decode("latin-1")
+        return None
+
+    def _answer(self, request: HttpRequest) -> bytes:
+        try:
+            status, data = self.handler(request)
+            self.counters.add(f"admin.{status}")
+            return response(status, data)
+        except HttpError as error:
+            self.counters.add(f"admin.{error.status}")
+            return response(error.status, {"error": error.text}, error.headers)
+        except Exception:
+            self.counters.add("error.admin")
+            log.exception("error in %s %s", request.method, request.path[:64])
+            return response(500, {"error": "internal error"})
--- a/onyxwick/config.py
+++ b/onyxwick/config.py
@@ -57,7 +57,7 @@
         settings = read_settings(Pairs.of_json(_field(data, "settings", dict)))
     except SettingError as error:
         raise ConfigError(f"field 'settings': {error}") from None
-    known = data.get("known") or {}
+    known = data.get("known", {})
     if not isinstance(known, dict) or not isinstance(known.get("updates", []), list):
         raise ConfigError("field 'known' is no list of events")
     return Config(str(data.get("name", "")), listen, coordinator, seed, sockets, known, settings)
--- a/onyxwick/dns/server.py
+++ b/onyxwick/dns/server.py
@@ -25,9 +25,9 @@
 from onyxwick.core import Answer, Core, Verdict
 from onyxwick.counters import Counters
 from onyxwick.dns import lookup, naming, update
-from onyxwick.dns.config import DnsConfig
 from onyxwick.net.buffer import Buffer
 from onyxwick.net.front import listen
+from onyxwick.service import ServiceConfig
 from onyxwick.tenants import Zone
 
 log = logging.getLogger(__name__)
@@ -51,9 +51,9 @@
 class DnsFront:
     """Answers for the tenants' zones. What lies under a routed name is the core's to say."""
 
-    def __init__(self, core: Core, counters: Counters, config: DnsConfig) -> None:
+    def __init__(self, core: Core, counters: Counters, config: ServiceConfig) -> None:
         self.core, self.counters, self.tenants = core, counters, config.tenants
-        self.deadline_us, self.address = config.deadline_us, config.listen
+        self.deadline_us, self.address = config.deadline_us, config.dns
         self.transport = naming.Naming()
         self.classes = {c.name: c for c in core.settings.classes}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -254,6 +254,7 @@
     async def run(self) -> None:
         """Listen until cancelled."""
         loop = asyncio.get_running_loop()
+        assert self.address is not None
         transport, _ = await loop.create_datagram_endpoint(lambda: _Udp(self), local_addr=self.address)
         with listen(self.address) as sock:
             log.info("DNS front on %s:%d", *self.address)
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -19,7 +19,9 @@
 from onyxwick.net.coordinator import Coordinator
 
 if TYPE_CHECKING:
-    from onyxwick.dns.config import DnsConfig
+    from onyxwick.admin.http import HttpServer
+    from onyxwick.dns.server import DnsFront
+    from onyxwick.service import ServiceConfig
 
 log = logging.getLogger(__name__)
 LINGER_S = 0.75  # after SIGTERM connections and requests still come for so long
@@ -35,8 +37,8 @@
 
 
 class Director:
-    def __init__(self, config: Config, names: DnsConfig | None = None) -> None:
-        self.config, self.names = config, names
+    def __init__(self, config: Config, service: ServiceConfig | None = None) -> None:
+        self.config, self.service = config, service
         self.state = State.STARTING
         self.counters, self.members = Counters(), Members()
         self.leaving = asyncio.Event()
@@ -78,11 +80,7 @@
                 loop.create_task(self.caches.sweep()),
                 loop.create_task(self.front.sweep()),
             ]
-            if self.names is not None:
-                # Loaded only where it is wanted: its library takes memory.
-                from onyxwick.dns.server import DnsFront
-
-                side.append(loop.create_task(DnsFront(self.core, self.counters, self.names).run()))
+            side += [loop.create_task(front.run()) for front in self._hosted()]
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
             gc.freeze()  # what lives from the start need not be looked through again
             accepting = loop.create_task(self.front.accept(sock))
@@ -96,6 +94,27 @@
         self._enter(State.STOPPED)
         self.print_counters()
 
+    def _hosted(self) -> list[DnsFront | HttpServer]:
+        """The hosted service's fronts. Loaded only where they are wanted: their libraries take memory."""
+        if self.service is None:
+            return []
+        from onyxwick.admin.api import Api
+        from onyxwick.admin.http import HttpServer
+        from onyxwick.dns.server import DnsFront
+
+        out: list[DnsFront | HttpServer] = []
+        if self.service.dns:
+            out.append(DnsFront(self.core, self.counters, self.service))
+        if self.service.admin:
+            api = Api(self.service.tenants, self.counters, self.service.token, self.health)
+            out.append(HttpServer(self.service.admin, api, self.counters))
+        return out
+
+    def health(self) -> dict[str, object]:
+        listed = self.members.listed
+        ready = sum(self.members.ready(member) for member in listed)
+        return {"state": self.state.value, "ready": self.is_ready(), "members": len(listed), "up": ready}
+
     async def _drain(self, accepting: asyncio.Task[None], sock: socket.socket) -> None:
         """Serve what still comes, then close the door and answer all that was taken."""
         self._enter(State.DRAINING)
--- a/onyxwick/tenants.py
+++ b/onyxwick/tenants.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import base64
+import binascii
+import hmac
+import re
 import time
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import dns.exception
@@ -12,6 +16,9 @@
 import dns.versioned
 import dns.zone
 
+QUOTA_PER_S = 500.0  # queries, where a tenant is given no quota
+ADMIN_PER_S = 20.0  # administration requests of one tenant
+MOST_TENANTS, MOST_ZONES, MOST_KEYS, MOST_TEXT = 256, 32, 16, 262_144  # bounds on memory, the last in bytes
 BURST_S = 1.0  # of its quota that a tenant can save up
 
 
@@ -19,6 +26,10 @@
     """What was asked of the tenants cannot be; the text names the field."""
 
 
+class Exists(TenantError):
+    """What was to be made is there already."""
+
+
 class Quota:
     """So many queries a second, counted for one tenant alone: none can starve another."""
 
@@ -46,19 +57,58 @@
     routed: dns.name.Name | None = None
 
 
-@dataclass(slots=True, eq=False)
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}").fullmatch
+
+
 class Tenant:
-    name: str
-    quota: Quota
-    keys: dict[dns.name.Name, bytes] = field(default_factory=dict)
-    zones: dict[dns.name.Name, Zone] = field(default_factory=dict)
+    """One tenant and all that is its own. Its token opens its own part of the administration API."""
+
+    def __init__(self, name: str, per_s: float = QUOTA_PER_S, token: str = "") -> None:
+        if not _NAME(name):
+            raise TenantError("field 'name' is no name of small letters, digits and hyphens")
+        self.name, self.token = name, token
+        self.quota, self.admin_quota = Quota(per_s), Quota(ADMIN_PER_S)
+        self.keys: dict[dns.name.Name, bytes] = {}
+        self.zones: dict[dns.name.Name, Zone] = {}
+
+    def add_key(self, name: dns.name.Name, secret: bytes) -> None:
+        if name not in self.keys and len(self.keys) >= MOST_KEYS:
+            raise TenantError(f"a tenant holds {MOST_KEYS} keys at most")
+        self.keys[name] = secret
+
+
+def read_quota(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= 1e6:
+        raise TenantError("field 'quota_per_s' is no number over 0")
+    return float(value)
+
+
+def read_name(text: object) -> dns.name.Name:
+    try:
+        return dns.name.from_text(str(text)).canonicalize()
+    except (dns.exception.DNSException, UnicodeError):
+        raise TenantError(f"'{text}' is no domain name") from None
+
+
+def read_key(name: object, secret: object) -> tuple[dns.name.Name, bytes]:
+    try:
+        raw = base64.b64decode(str(secret), validate=True)
+    except binascii.Error:
+        raise TenantError("field 'secret' is no base64") from None
+    if len(raw) < 16:
+        raise TenantError("field 'secret' has under 16 bytes")
+    return read_name(name), raw
 
 
 def read_zone(tenant: str, name: str, text: str, routed: str | None = None) -> Zone:
-    """A zone from the text of a zone file."""
+    """A zone from the text of a zone file. Includes are off: the text may be a tenant's."""
+    if len(text) > MOST_TEXT:
+        raise TenantError(f"zone '{name}': over {MOST_TEXT} bytes")
+    origin = read_name(name)
     try:
-        origin = dns.name.from_text(name)
-        data = dns.zone.from_text(text, origin, relativize=False, zone_factory=dns.versioned.Zone)
+        data = dns.zone.from_text(
+            text, origin, relativize=False, zone_factory=dns.versioned.Zone, allow_include=False
+        )
         below = dns.name.from_text(routed, origin) if routed else None
     except (dns.exception.DNSException, ValueError) as error:
         raise TenantError(f"zone '{name}': {error}") from None
@@ -78,33 +128,51 @@
 class Tenants:
     """All tenants, and which zone a name belongs to."""
 
-    def __init__(self, tenants: Iterable[Tenant] = ()) -> None:
+    def __init__(self) -> None:
         self.tenants: dict[str, Tenant] = {}
-        for tenant in tenants:
-            self.add(tenant)
+        self.zones: dict[dns.name.Name, Zone] = {}  # of all tenants: a name is looked up in one step a label
 
     def add(self, tenant: Tenant) -> None:
         if tenant.name in self.tenants:
-            raise TenantError(f"tenant '{tenant.name}' exists")
+            raise Exists(f"tenant '{tenant.name}' exists")
+        if len(self.tenants) >= MOST_TENANTS:
+            raise TenantError(f"{MOST_TENANTS} tenants at most")
         self.tenants[tenant.name] = tenant
 
     def remove(self, name: str) -> None:
-        del self.tenants[name]
+        for zone in self.tenants.pop(name).zones:
+            del self.zones[zone]
 
     def add_zone(self, zone: Zone) -> None:
-        if any(zone.name in tenant.zones for tenant in self.tenants.values()):
-            raise TenantError(f"zone '{zone.name}' exists")
-        self.tenants[zone.tenant].zones[zone.name] = zone
+        """Take in a zone, or the new text of one that this tenant has. A name has one tenant for good."""
+        held, tenant = self.zones.get(zone.name), self.tenants[zone.tenant]
+        if held is not None and held.tenant != zone.tenant:
+            raise Exists(f"zone '{zone.name}' exists")
+        if (above := self.zone_of(zone.name)) is not None and above.tenant != zone.tenant:
+            raise Exists(f"zone '{zone.name}' lies in another tenant's")
+        if held is None and len(tenant.zones) >= MOST_ZONES:
+            raise TenantError(f"a tenant holds {MOST_ZONES} zones at most")
+        self.zones[zone.name] = tenant.zones[zone.name] = zone
+
+    def remove_zone(self, zone: Zone) -> None:
+        del self.zones[zone.name], self.tenants[zone.tenant].zones[zone.name]
 
     def zone_of(self, name: dns.name.Name) -> Zone | None:
-        """The nearest zone above a name."""
+        """The nearest zone at or above a name."""
         while True:
-            for tenant in self.tenants.values():
-                if zone := tenant.zones.get(name):
-                    return zone
+            if zone := self.zones.get(name):
+                return zone
             if name == dns.name.root or not len(name):
                 return None
             name = name.parent()
 
     def keyring(self) -> dict[dns.name.Name, bytes]:
         return {name: key for tenant in self.tenants.values() for name, key in tenant.keys.items()}
+
+    def by_token(self, token: str) -> Tenant | None:
+        """The tenant that a token belongs to; each is compared in constant time."""
+        found = None
+        for tenant in self.tenants.values():
+            if tenant.token and hmac.compare_digest(tenant.token.encode(), token.encode()):
+                found = tenant
+        return found
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -1,7 +1,8 @@
 """The shared helper of the recorded tests: plays a text file of bytes against the real program.
 
 A line is `WHO > BYTES` (sent to the program), `WHO < BYTES` (must come from it), `WHO close` or `WHO closed`
-(the program must end the connection). `WHO` is `client`, `dns` (UDP), `tcp` (DNS over TCP), `coordinator` or
+(the program must end the connection). `WHO` is `client`, `dns` (UDP), `tcp` (DNS over TCP), `admin`,
+`coordinator` or
 the id of a member, whose stand-in listens where the list says. BYTES is the inside of a Python bytes literal;
 `{n}` stands for any number and `{id}` for two bytes. Everything waits for its event, nothing for a time.
 """
@@ -22,6 +23,8 @@
 FOLDER = Path(__file__).parent / "exchanges"
 PATIENCE_S = 20.0
 LISTEN, COORDINATOR, DNS = ("127.77.0.1", 15050), ("127.77.200.1", 17070), ("127.77.0.1", 15353)
+ADMIN = ("127.77.0.1", 18053)
+TCP = {"client": LISTEN, "tcp": DNS, "admin": ADMIN}
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -32,7 +35,7 @@
 class Exchange:
     """The program with its stand-ins."""
 
-    def __init__(self, folder: Path, dns: bool = False) -> None:
+    def __init__(self, folder: Path, hosted: bool = False) -> None:
         self.config = json.loads((FOLDER / "config.json").read_text())
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
@@ -41,13 +44,13 @@
         self.got: dict[str, bytes] = {}
         path = folder / "config.json"
         path.write_text(json.dumps(self.config))
-        environment = {**os.environ, "RELAY_CONFIG": str(path), "ONYXWICK_DNS": str(folder / "none")}
-        if dns:
-            environment["ONYXWICK_DNS"] = str(FOLDER / "dns.toml")
+        environment = {**os.environ, "RELAY_CONFIG": str(path), "ONYXWICK_SERVICE": str(folder / "none")}
+        if hosted:
+            environment["ONYXWICK_SERVICE"] = str(FOLDER / "service.toml")
         self.program = subprocess.Popen(
             [sys.executable, "-m", "onyxwick"], cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True
         )
-        self._until("DNS front on" if dns else "serving")
+        self._until("DNS front on" if hosted else "serving")
 
     def _listen(self, address: tuple[str, int]) -> socket.socket:
         sock = socket.create_server(address)
@@ -66,8 +69,8 @@
             if who == "dns":
                 sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
                 sock.connect(DNS)
-            elif who in ("client", "tcp"):
-                sock = socket.create_connection(LISTEN if who == "client" else DNS, PATIENCE_S)
+            elif who in TCP:
+                sock = socket.create_connection(TCP[who], PATIENCE_S)
             else:
                 sock = self.listeners[who].accept()[0]
             sock.settimeout(PATIENCE_S)
@@ -110,12 +113,11 @@
                 raise AssertionError(f"no such step: {line}")
         assert not any(self.got.values()), f"bytes that nothing expected: {self.got}"
 
-    def stop(self) -> str:
-        """SIGTERM, which must end the program cleanly; gives the counters that it prints."""
+    def stop(self) -> None:
+        """SIGTERM, which must end the program cleanly."""
         if self.program.poll() is None:
             self.program.send_signal(signal.SIGTERM)
         self.program.communicate(timeout=PATIENCE_S)
         for sock in (*self.open.values(), *self.listeners.values()):
             sock.close()
         assert self.program.returncode == 0
-        return ""
