--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from onyxwick import config as configuration
 from onyxwick.config import Config
 from onyxwick.core import Core
 from onyxwick.core.members import Members
@@ -65,6 +66,22 @@
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
         loop.add_signal_handler(signal.SIGINT, self.leaving.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+
+    def reload(self) -> None:
+        """Read the configuration again, whole; one that cannot be used changes nothing.
+
+        Only the coordinator can move under way. Requests and attempts are not touched.
+        """
+        try:
+            told = configuration.load()
+        except configuration.ConfigError as error:
+            self.counters.add("reload.bad")
+            log.error("configuration kept as it was: %s", error)
+            return
+        self.counters.add("reload.read")
+        log.info("configuration read again; coordinator at %s:%d", *told.coordinator)
+        self.coordinator.move(told.coordinator)
 
     def print_counters(self) -> None:
         print(self.counters.text(), flush=True)
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -15,8 +15,9 @@
 from onyxwick.net.buffer import Buffer
 
 log = logging.getLogger(__name__)
-SILENT_S = 3.0  # a line comes each second: without one for so long the connection is broken
-AGAIN_S = 0.2  # between attempts to connect
+SILENT_S = 2.2  # a line comes each second: without one for so long the connection is broken
+CONNECT_S = 0.8  # with the silence before it under the 4 s after which an event counts as told
+AGAIN_S = 0.1  # between attempts to connect
 MAX_LINE = 4_194_304
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
@@ -55,6 +56,9 @@
     def __init__(self, core: Core, counters: Counters) -> None:
         self.core, self.counters = core, counters
         self.last = 0
+        self.announced = 0  # the last number that a line named alone
+        self.address = ("", 0)
+        self.limit: asyncio.Timeout | None = None  # how long the connection under way may be silent
 
     def known(self, known: dict[str, Any]) -> None:
         """What the configuration tells of the time before the start."""
@@ -90,37 +94,56 @@
                 if int(told["index"]) > self.last + 1:
                     raise OSError("events were left out")  # asked for again on a new connection
                 self.apply(told)
-            elif not isinstance(told, int):
+            elif isinstance(told, int):
+                self._number(told)
+            else:
                 raise ValueError("neither a number nor an event")
         except (ValueError, KeyError, TypeError) as error:
             self.bad(f"{error!r} in {text[:64]!r}")
 
+    def _number(self, number: int) -> None:
+        """The last number alone. Events that it counted a second ago and that never came are lost here."""
+        if self.last < self.announced:
+            raise OSError(f"event {self.announced} never came")
+        self.announced = number
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The feed is at another address from now on; its numbers go on from the last one had."""
+        if address != self.address:
+            self.address = address
+            if self.limit is not None:
+                self.limit.reschedule(asyncio.get_running_loop().time())
+
     async def follow(self, address: tuple[str, int]) -> None:
         """Keep a connection to the feed until cancelled."""
+        self.address = address
         while True:
             try:
-                await self._follow_once(address)
+                await self._follow_once()
             except (OSError, TimeoutError) as error:
                 self.counters.add("coordinator.lost")
                 log.info("coordinator: %r; again after event %d", error, self.last)
             except Exception:
                 self.counters.add("error.coordinator")
                 log.exception("error in the coordinator's events")
+            finally:
+                self.limit = None
             await asyncio.sleep(AGAIN_S)
 
-    async def _follow_once(self, address: tuple[str, int]) -> None:
+    async def _follow_once(self) -> None:
         loop, buffer = asyncio.get_running_loop(), Buffer()
+        self.announced = 0
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
-            async with asyncio.timeout(SILENT_S):
-                await loop.sock_connect(sock, address)
+            async with asyncio.timeout(CONNECT_S) as self.limit:
+                await loop.sock_connect(sock, self.address)
                 await loop.sock_sendall(sock, b"follow %d\n" % self.last)
-            while True:
-                async with asyncio.timeout(SILENT_S):
-                    if not await buffer.receive(loop, sock):
-                        raise OSError("closed by the coordinator")
-                while (end := buffer.find(b"\n")) >= 0:
-                    if line := buffer.take(end + 1).strip():
-                        self.line(line)
-                if len(buffer) > MAX_LINE:
-                    raise OSError("line too long")
+            async with asyncio.timeout(SILENT_S) as self.limit:
+                while await buffer.receive(loop, sock):
+                    while (end := buffer.find(b"\n")) >= 0:
+                        if line := buffer.take(end + 1).strip():
+                            self.line(line)
+                            self.limit.reschedule(loop.time() + SILENT_S)
+                    if len(buffer) > MAX_LINE:
+                        raise OSError("line too long")
+                raise OSError("closed by the coordinator")
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -2,9 +2,11 @@
 
 A line is `WHO > BYTES` (sent to the program), `WHO < BYTES` (must come from it), `WHO close` or `WHO closed`
 (the program must end the connection). `WHO` is `client`, `dns` (UDP), `tcp` (DNS over TCP), `admin`,
-`coordinator` or
-the id of a member, whose stand-in listens where the list says. BYTES is the inside of a Python bytes literal;
-`{n}` stands for any number and `{id}` for two bytes. Everything waits for its event, nothing for a time.
+`coordinator`, `moved` (where the feed can move) or the id of a member, whose stand-in listens where the list
+says; a further connection of the same kind has a suffix to its name, as `client.2`. BYTES is the inside of a
+Python bytes literal; `{n}` stands for any number and `{id}` for two bytes. `program reload TEXT` makes TEXT
+(an object: what it changes) the configuration file and sends SIGHUP; `program logged WORDS` waits for a log
+line. Everything waits for its event, nothing for a time.
 """
 
 from __future__ import annotations
@@ -23,6 +25,7 @@
 FOLDER = Path(__file__).parent / "exchanges"
 PATIENCE_S = 20.0
 LISTEN, COORDINATOR, DNS = ("127.77.0.1", 15050), ("127.77.200.1", 17070), ("127.77.0.1", 15353)
+MOVED = ("127.77.200.2", 17070)
 ADMIN = ("127.77.0.1", 18053)
 TCP = {"client": LISTEN, "tcp": DNS, "admin": ADMIN}
 
@@ -40,11 +43,12 @@
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
         self.listeners["coordinator"] = self._listen(COORDINATOR)
+        self.listeners["moved"] = self._listen(MOVED)
         self.open: dict[str, socket.socket] = {}
         self.got: dict[str, bytes] = {}
-        path = folder / "config.json"
-        path.write_text(json.dumps(self.config))
-        environment = {**os.environ, "RELAY_CONFIG": str(path), "ONYXWICK_SERVICE": str(folder / "none")}
+        self.path = folder / "config.json"
+        self.path.write_text(json.dumps(self.config))
+        environment = {**os.environ, "RELAY_CONFIG": str(self.path), "ONYXWICK_SERVICE": str(folder / "none")}
         if hosted:
             environment["ONYXWICK_SERVICE"] = str(FOLDER / "service.toml")
         self.program = subprocess.Popen(
@@ -66,13 +70,14 @@
 
     def _peer(self, who: str) -> socket.socket:
         if who not in self.open:
-            if who == "dns":
+            kind = who.partition(".")[0]
+            if kind == "dns":
                 sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
                 sock.connect(DNS)
-            elif who in TCP:
-                sock = socket.create_connection(TCP[who], PATIENCE_S)
+            elif kind in TCP:
+                sock = socket.create_connection(TCP[kind], PATIENCE_S)
             else:
-                sock = self.listeners[who].accept()[0]
+                sock = self.listeners[kind].accept()[0]
             sock.settimeout(PATIENCE_S)
             self.open[who], self.got[who] = sock, b""
         return self.open[who]
@@ -98,6 +103,9 @@
             if not line.strip() or line.startswith("#"):
                 continue
             who, what, *rest = line.split(" ", 2)
+            if who == "program":
+                self._program(what, rest[0])
+                continue
             data = ast.literal_eval("b'" + rest[0] + "'") if rest else b""
             if what == ">":
                 self._peer(who).sendall(data)
@@ -113,6 +121,14 @@
                 raise AssertionError(f"no such step: {line}")
         assert not any(self.got.values()), f"bytes that nothing expected: {self.got}"
 
+    def _program(self, what: str, text: str) -> None:
+        if what == "logged":
+            return self._until(text)
+        assert what == "reload"
+        new = json.dumps({**self.config, **json.loads(text)}) if text.startswith("{") else text
+        self.path.write_text(new)
+        self.program.send_signal(signal.SIGHUP)
+
     def stop(self) -> None:
         """SIGTERM, which must end the program cleanly."""
         if self.program.poll() is None:
