Bound clients, end silent and stuck ones, refuse bad input as its header shows it

Cause: Front.accept had no bound, and Client no limit on silence, half requests or idleness; clients that ask once and stay kept their descriptors for good.

Now the limits of the configuration give a bound on clients, links, requests and held answers (config.py); a newcomer displaces who never asked, then who is idle longest; 2 s of silence or half a request, 4.8 s of idleness end a connection. Unknown classes, wrong lengths, figures out of range never reach a cache. Lost framing answers what is open before the close. Bad input pauses reading, never an answer.

Found beside it: an abort in the same read as its call was lost (Core.leave knew only lives whose task had run); attempts of a client that left ran on to their deadline (Router, ClientLeft: nothing cancelled them); a second request under an open id could take the first one down as it left. All three are mended.

--- a/onyxwick/config.py
+++ b/onyxwick/config.py
@@ -19,6 +19,11 @@
     """The configuration cannot be used; the text names the field."""
 
 
+BASE_MB = 32  # of memory, used by the program as it starts
+SPARE_SOCKETS = 24  # standard streams, the event loop's own, the feed, the door and some in reserve
+OPEN_BYTES = 65_536  # memory that a request is reckoned at: its answer as it comes and as it goes
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -26,9 +31,36 @@
     coordinator: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: int
     known: dict[str, Any]
     settings: i.Settings
 
+    # What the limits leave: each bound is a share of them, so that all together stay under.
+
+    @property
+    def most_links(self) -> int:
+        """Connections to caches, parents and the origin."""
+        return self.sockets // 4
+
+    @property
+    def most_clients(self) -> int:
+        return self.sockets - self.most_links - SPARE_SOCKETS
+
+    @property
+    def room_bytes(self) -> int:
+        """Memory for requests and answers under way."""
+        return max(8, self.memory_mb - BASE_MB) * 1_000_000
+
+    @property
+    def most_held(self) -> int:
+        """Bytes of answers that wait for slow readers."""
+        return self.room_bytes // 3
+
+    @property
+    def most_open(self) -> int:
+        """Requests at once."""
+        return self.room_bytes // OPEN_BYTES
+
 
 def _field(data: Mapping[str, Any], name: str, kind: type) -> Any:
     value = data.get(name)
@@ -37,6 +69,14 @@
     return value
 
 
+def _limit(data: Mapping[str, Any], name: str, least: int, default: int) -> int:
+    limits = data.get("limits") or {}
+    value = limits.get(name, default) if isinstance(limits, dict) else None
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+        raise ConfigError(f"field 'limits.{name}' is no number from {least}")
+    return int(value)
+
+
 def read(data: Mapping[str, Any]) -> Config:
     try:
         listen = read_address(_field(data, "listen", str))
@@ -50,9 +90,7 @@
         seed = int(str(data.get("seed") or "0"), 16)
     except ValueError:
         raise ConfigError("field 'seed' is no hexadecimal number") from None
-    sockets = (data.get("limits") or {}).get("sockets", 1024)
-    if not isinstance(sockets, int) or sockets < 64:
-        raise ConfigError("field 'limits.sockets' is no number from 64")
+    sockets, memory_mb = _limit(data, "sockets", 64, 1024), _limit(data, "memory_mb", 32, 192)
     try:
         settings = read_settings(Pairs.of_json(_field(data, "settings", dict)))
     except SettingError as error:
@@ -60,7 +98,7 @@
     known = data.get("known", {})
     if not isinstance(known, dict) or not isinstance(known.get("updates", []), list):
         raise ConfigError("field 'known' is no list of events")
-    return Config(str(data.get("name", "")), listen, coordinator, seed, sockets, known, settings)
+    return Config(str(data.get("name", "")), listen, coordinator, seed, sockets, memory_mb, known, settings)
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -19,7 +19,7 @@
 log = logging.getLogger(__name__)
 OVERDUE_US = 20_000  # past its deadline a request is answered even if the module forgot it
 RETRY_TIMER_S = 0.1  # after an error on a timer the module is woken again
-MAX_OPEN = 2048  # requests at once: at some 30 KB an answer on average, what memory bears
+MAX_OPEN = 2048  # requests at once, where nothing else is said
 
 
 def unix_us() -> int:
@@ -87,9 +87,10 @@
         members: Members,
         counters: Counters,
         clock: Callable[[], int] = unix_us,
+        most_open: int = MAX_OPEN,
     ) -> None:
         self.settings, self.transport, self.members, self.counters = settings, transport, members, counters
-        self.clock = clock
+        self.clock, self.most_open = clock, most_open
         self.latest = clock()
         self.lives: dict[str, Life] = {}
         self.idle = asyncio.Event()
@@ -143,23 +144,45 @@
         self, request: Request, reply: Callable[[Answer], None], transport: Transport | None = None
     ) -> None:
         """A request's whole life. `reply` is called once, or never if the client has left."""
-        if request.id in self.lives or len(self.lives) >= MAX_OPEN:
+        if life := self._take(request, reply, transport):
+            await self._live(life, reply)
+
+    def start(self, request: Request, reply: Callable[[Answer], None]) -> Life | None:
+        """The same beside the caller; None if it has been answered already.
+
+        The life is there at once: a client that takes its request back in the same breath is heard.
+        """
+        life = self._take(request, reply, None)
+        if life is not None:
+            # No set of tasks: the life's mailbox, and through it the task, is held until its end.
+            asyncio.get_running_loop().create_task(self._live(life, reply))
+        return life
+
+    def _take(
+        self, request: Request, reply: Callable[[Answer], None], transport: Transport | None
+    ) -> Life | None:
+        if request.id in self.lives or len(self.lives) >= self.most_open:
             known = request.id in self.lives
             self.counters.add("answer.duplicate" if known else "answer.overloaded")
             reply(Answer(Verdict.FAILED if known else Verdict.REFUSED))
-            return
+            return None
         life = Life(request, transport=transport)
         self.lives[request.id] = life
         self.idle.clear()
+        return life
+
+    async def _live(self, life: Life, reply: Callable[[Answer], None]) -> None:
+        request = life.request
         try:
             try:
-                answer = await self._decide(life)
+                # What was taken back before it began is no news to the module: it would count as popular.
+                answer = None if life.gone else await self._decide(life)
             except Exception:
                 # One request's error is that request's failure, never the process's end.
                 self.counters.add("error.request")
                 log.exception("error in request %s", request.id)
                 answer = Answer(Verdict.FAILED)
-            if answer is not None:
+            if answer is not None and not life.gone:
                 self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
                 reply(answer)
             await self._wind_up(life)
@@ -168,8 +191,8 @@
             if not self.lives:
                 self.idle.set()
 
-    def leave(self, request_id: str) -> None:
-        if (life := self.lives.get(request_id)) and not life.gone:
+    def leave(self, life: Life) -> None:
+        if not life.gone:
             life.gone = True
             life.mailbox.put(Left())
 
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -48,11 +48,20 @@
             self.counters,
             config.settings.limits.connect_timeout_us,
             config.settings.report_names,
-            most_links=config.sockets // 2,
+            most_links=config.most_links,
+        )
+        self.core = Core(
+            config.settings,
+            config.seed,
+            self.caches,
+            self.members,
+            self.counters,
+            most_open=config.most_open,
         )
-        self.core = Core(config.settings, config.seed, self.caches, self.members, self.counters)
         self.coordinator = Coordinator(self.core, self.counters)
-        self.front = front.Front(self.core, self.counters, self.is_ready)
+        self.front = front.Front(
+            self.core, self.counters, self.is_ready, config.most_clients, config.most_held
+        )
 
     def is_ready(self) -> bool:
         return self.state is State.SERVING and self.members.loaded
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -177,6 +177,7 @@
                     self._ended(event)
                 case i.ClientLeft(request):
                     if job := self.jobs.get(request):
+                        self._cancel_rest(job)  # nobody waits for what is still out
                         self._close(job)
                 case i.MembersChanged():
                     self._listed(event)
--- a/onyxwick/net/buffer.py
+++ b/onyxwick/net/buffer.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 
-ROOM = 16_384  # least free space offered to one receive
+ROOM = 16_384  # least free space offered to one receive, where nothing else is said
 KEPT = 65_536  # an emptied buffer larger than this is given back
 
 
@@ -15,8 +15,9 @@
     Parsers read from `data[start:end]` and move `start` on; the room behind `end` is for receiving.
     """
 
-    def __init__(self) -> None:
-        self.data = bytearray(ROOM)
+    def __init__(self, room: int = ROOM) -> None:
+        self.room = room
+        self.data = bytearray(room)
         self.start = self.end = 0
 
     def __len__(self) -> int:
@@ -48,7 +49,7 @@
 
     async def receive(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> bool:
         """Wait for bytes; False at the end of the stream."""
-        self._make_room(ROOM)
+        self._make_room(self.room)
         # The views are released before the buffer can be resized: a bytearray with views cannot grow.
         with memoryview(self.data) as whole, whole[self.end :] as room:
             got = await loop.sock_recv_into(sock, room)
@@ -59,7 +60,7 @@
         if self.start == self.end:
             self.start = self.end = 0
             if len(self.data) > KEPT:
-                self.data = bytearray(ROOM)
+                self.data = bytearray(self.room)
         if len(self.data) - self.end >= size:
             return
         if self.start:
--- a/onyxwick/net/fastcgi.py
+++ b/onyxwick/net/fastcgi.py
@@ -14,8 +14,9 @@
 BEGIN_BODY = struct.Struct(">HB5x")
 END_BODY = struct.Struct(">IB3x")
 VERSION, RESPONDER, KEEP_CONN = 1, 1, 1
+ROOM = 2048  # of a connection's buffer at first: requests are short, and there may be many connections
 MAX_OPEN = 32  # requests on one connection
-MAX_PARAMS, MAX_BODY = 32_768, 65_536  # over these a request cannot be one of the platform's
+MAX_PARAMS, MAX_BODY = 16_384, 48_000  # over these a request cannot be one of the platform's
 SLICE = 65_528  # most content of one record, a multiple of eight
 MANAGED = {b"FCGI_MAX_CONNS": b"341", b"FCGI_MAX_REQS": b"10912", b"FCGI_MPXS_CONNS": b"1"}
 
@@ -58,10 +59,14 @@
 
 @dataclass(slots=True)
 class Reply:
-    """Bytes to send back at once: the protocol's own answers. `fault` names bad input."""
+    """Bytes to send back at once: the protocol's own answers. `fault` names bad input.
+
+    `last`: more may come without end, so the connection is read no further.
+    """
 
     data: bytes
     fault: str = ""
+    last: bool = False
 
 
 Message = Call | Aborted | Reply
@@ -72,7 +77,8 @@
     keep: bool
     params: bytearray = field(default_factory=bytearray)
     body: bytearray = field(default_factory=bytearray)
-    params_done: bool = False
+    pairs: dict[bytes, bytes] | None = None  # once all parameters have come
+    length: int | None = None  # of the body, where the parameters tell it
 
 
 def record(kind: Type, number: int, content: bytes) -> bytes:
@@ -139,13 +145,29 @@
     return b"".join(size(len(k)) + size(len(v)) + k + v for k, v in pairs.items())
 
 
+def body_length(pairs: dict[bytes, bytes]) -> int | None:
+    """What the parameters say of the body's length; ValueError where that cannot be."""
+    text = pairs.get(b"CONTENT_LENGTH", b"")
+    if not text:
+        return None
+    if not text.isdigit():
+        raise ValueError("bad CONTENT_LENGTH")
+    return int(text[:12])
+
+
 class Parser:
     """The records of one connection. `open` holds what was begun and is not yet answered."""
 
     def __init__(self) -> None:
-        self.buffer = Buffer()
+        self.buffer = Buffer(ROOM)
         self.partial: dict[int, _Partial] = {}
         self.open: set[int] = set()  # whole requests; whoever answers one discards its number
+        self.passed: set[int] = set()  # answered before they were whole: what still comes of them is no news
+
+    @property
+    def half(self) -> bool:
+        """Is there something whose rest has not come?"""
+        return bool(self.partial) or len(self.buffer) > 0
 
     def messages(self) -> Iterator[Message]:
         buffer, unpack = self.buffer, HEADER.unpack_from
@@ -171,7 +193,7 @@
             return self._abort(number)
         partial = self.partial.get(number)
         if partial is None:
-            return None  # a record of a request that was refused, aborted or never begun
+            return self._stray(number)
         if kind == PARAMS:
             return self._params(number, partial, content)
         if kind == STDIN:
@@ -195,43 +217,62 @@
         if number in self.partial or number in self.open:
             raise FramingError(f"request {number} begun twice")
         if role != RESPONDER:
+            self.passed.add(number)
             return Reply(end_request(number, Protocol.UNKNOWN_ROLE), "unknown role")
         if len(self.partial) + len(self.open) >= MAX_OPEN:
+            self.passed.add(number)
             return Reply(end_request(number, Protocol.OVERLOADED), "too many requests on a connection")
+        self.passed.discard(number)
         self.partial[number] = _Partial(bool(flags & KEEP_CONN))
         return None
 
+    def _stray(self, number: int) -> Reply | None:
+        """A record of a request that is whole, answered or was never begun: the last is told so, once."""
+        if number in self.open or number in self.passed:
+            return None
+        self.passed.add(number)
+        return Reply(answer(number, "400 Bad Request", {}, b""), "record of a request never begun")
+
     def _abort(self, number: int) -> Message | None:
         if self.partial.pop(number, None) is not None:
+            self.passed.add(number)
             return Reply(end_request(number))
         return Aborted(number) if number in self.open else None
 
     def _params(self, number: int, partial: _Partial, content: bytes) -> Reply | None:
-        if not content:
-            partial.params_done = True
-        elif len(partial.params) + len(content) > MAX_PARAMS:
-            return self._reject(number, "413 Content Too Large", "parameters too long")
-        else:
+        if content:
+            if len(partial.params) + len(content) > MAX_PARAMS:
+                return self._reject(number, "413 Content Too Large", "parameters too long", last=True)
             partial.params += content
+            return None
+        try:
+            partial.pairs = read_pairs(bytes(partial.params))
+            partial.length = body_length(partial.pairs)
+        except ValueError as error:
+            return self._reject(number, "400 Bad Request", str(error))
+        if partial.length is not None and partial.length > MAX_BODY:
+            return self._reject(number, "413 Content Too Large", "body too long", last=True)
         return None
 
     def _stdin(self, number: int, partial: _Partial, content: bytes) -> Message | None:
-        if not partial.params_done:
+        if partial.pairs is None:
             return self._reject(number, "400 Bad Request", "STDIN before the end of PARAMS")
         if content:
-            if len(partial.body) + len(content) > MAX_BODY:
-                return self._reject(number, "413 Content Too Large", "body too long")
             partial.body += content
+            if len(partial.body) > MAX_BODY:
+                return self._reject(number, "413 Content Too Large", "body too long", last=True)
+        if partial.length is not None and (
+            len(partial.body) > partial.length or (not content and len(partial.body) < partial.length)
+        ):
+            return self._reject(number, "400 Bad Request", "body of another length than told")
+        if content:
             return None
-        try:
-            pairs = read_pairs(bytes(partial.params))
-        except ValueError as error:
-            return self._reject(number, "400 Bad Request", str(error))
         del self.partial[number]
         self.open.add(number)
-        return Call(number, partial.keep, pairs, bytes(partial.body))
+        return Call(number, partial.keep, partial.pairs, bytes(partial.body))
 
-    def _reject(self, number: int, status: str, fault: str) -> Reply:
+    def _reject(self, number: int, status: str, fault: str, last: bool = False) -> Reply:
         """A request that cannot be read is answered `failed`; its later records are passed over."""
         del self.partial[number]
-        return Reply(answer(number, status, {}, b""), fault)
+        self.passed.add(number)
+        return Reply(answer(number, status, {}, b""), fault, last)
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -9,15 +9,26 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
 
-from onyxwick.core import Answer, Core, Request, Verdict
+from onyxwick import interface as i
+from onyxwick.core import Answer, Core, Life, Request, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi
 from onyxwick.net.outbox import Outbox, Parcel, Tally
 
 log = logging.getLogger(__name__)
 STALLED_S = 10.0  # a client that takes nothing for so long is cut off
-HELD_BYTES = 48_000_000  # answers waiting for slow readers, all together; over it new calls are refused
+HALF_S = 2.0  # a connection that has sent nothing, or half a request, for so long is ended
+IDLE_S = (
+    4.8  # the platform's clients close what is idle for 4 s; who holds on longer takes a place for nothing
+)
+FAULTS = 16  # bad input on one connection after which it is ended
+FAULT_PAUSE_S = 0.02  # after bad input, times the faults so far: it comes again as fast as it is answered
+LINGER_S = (
+    0.5  # what a client still sends is read for so long, as a close on unread bytes takes the answer away
+)
+SWEEP_S = 0.25
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed, for want of descriptors as a rule
 STATUS = {
@@ -37,7 +48,8 @@
 
 
 _HEX16 = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
-_PLAIN = re.compile(rb"[^,= \r\n]*").fullmatch  # what may stand in a field of the caches' protocol
+_PLAIN = re.compile(rb"[!-+.-<>-~-]{0,128}").fullmatch  # what may stand in a field of the caches' protocol
+MOST_PARTS = 65_535  # of one object
 Params = dict[bytes, bytes]
 
 
@@ -49,27 +61,32 @@
 
 
 def _whole(params: Params, name: bytes, least: int, most: int) -> int:
-    text = params.get(name, b"")
+    text = params.get(name, b"0")
     if not text.isdigit() or not least <= int(text[:12]) <= most:
         raise ValueError(f"bad {name.decode()}")
     return int(text)
 
 
-def read_request(params: Params, body: bytes, now: int) -> Request:
+def read_request(params: Params, body: bytes, now: int, classes: dict[str, i.RequestClass]) -> Request:
     """The core request that a call asks for; ValueError names the field that cannot be used."""
-    class_name = params[b"SCRIPT_NAME"].removeprefix(b"/call/")
-    held = params.get(b"HTTP_X_GOT", b"").strip(b'"')
-    if not _PLAIN(held) or not _PLAIN(class_name):
-        raise ValueError("bad X_GOT or class")
+    class_name = params[b"SCRIPT_NAME"].removeprefix(b"/call/").decode("latin-1")
+    kind = classes.get(class_name)
+    if kind is None:
+        raise ValueError("unknown class")  # no cache could use it
+    held, again = params.get(b"HTTP_X_GOT", b"").strip(b'"'), params.get(b"HTTP_X_RETRY", b"0")
+    if not _PLAIN(held) or again not in (b"0", b"1"):
+        raise ValueError("bad X_GOT or X_RETRY")
+    if body and not kind.write:
+        raise ValueError("body of a request that writes nothing")
     return Request(
         id=_hexadecimal(params, b"HTTP_X_REQUEST_ID"),
-        class_name=class_name.decode("latin-1"),
+        class_name=class_name,
         object=_hexadecimal(params, b"HTTP_X_OBJECT"),
-        part=_whole(params, b"HTTP_X_NTH", 0, 1 << 31) if b"HTTP_X_NTH" in params else 0,
+        part=_whole(params, b"HTTP_X_NTH", 0, MOST_PARTS),
         group=_whole(params, b"HTTP_X_BATCH", 0, 255) if b"HTTP_X_BATCH" in params else None,
         arrived_us=now,
-        timeout_us=_whole(params, b"HTTP_X_TIMEOUT_MS", 1, 3_600_000) * 1000,
-        repeat=params.get(b"HTTP_X_RETRY") == b"1",
+        timeout_us=_whole(params, b"HTTP_X_TIMEOUT_MS", 1, 2 * kind.deadline_us // 1000) * 1000,
+        repeat=again == b"1",
         body=body,
         held_tag=held.decode("latin-1"),
     )
@@ -93,9 +110,10 @@
         self.front, self.sock = front, sock
         self.parser = fastcgi.Parser()
         self.outbox = Outbox(sock, front.tally)
-        self.open: dict[int, str] = {}  # FastCGI number: request id
-        self.ending = False  # the client wants it closed after the answer
-        self.used_at = time.monotonic()
+        self.open: dict[int, Life | None] = {}  # by FastCGI number
+        self.ending = False  # to be closed when all that is open on it is answered
+        self.calls = self.faults = 0
+        self.born = self.used_at = self.half_since = time.monotonic()
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -104,8 +122,6 @@
             done, _ = await asyncio.wait({writer, reader}, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 task.result()
-        except fastcgi.FramingError as error:
-            self.front.bad(str(error))
         except OSError:
             self.front.counters.add("client.broken")
         finally:
@@ -114,37 +130,90 @@
             await asyncio.gather(writer, reader, return_exceptions=True)
             self.sock.close()
             self.outbox.close()
-            for request_id in self.open.values():
-                self.front.core.leave(request_id)
+            self._leave_all()
+
+    def _leave_all(self) -> None:
+        lives, self.open = self.open, {}
+        for life in lives.values():
+            if life is not None:
+                self.front.core.leave(life)
 
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
-        while await self.parser.buffer.receive(loop, self.sock):
-            self.used_at = time.monotonic()
-            for message in self.parser.messages():
-                self._message(message)
+        while not self.ending and await self.parser.buffer.receive(loop, self.sock):
+            faults = self.faults
+            try:
+                self._take()
+            except fastcgi.FramingError as error:
+                self._fault(str(error))
+                self._fail_all()
             if self.outbox.pending > PAUSE_BYTES:
                 await self.outbox.drained.wait()
+            if self.faults > faults and not self.ending:
+                await asyncio.sleep(FAULT_PAUSE_S * self.faults)
+        if self.ending:
+            await self._end()
+
+    def _take(self) -> None:
+        """Whatever is whole of what has come."""
+        half, calls, self.used_at = self.parser.half, self.calls, time.monotonic()
+        for message in self.parser.messages():
+            self._message(message)
+            if self.ending:
+                return
+        if not half or self.calls > calls:
+            self.half_since = self.used_at
+
+    async def _end(self) -> None:
+        """Answer what is open, then close so that the answers arrive."""
+        while self.open:
+            self.answered = asyncio.get_running_loop().create_future()
+            await self.answered
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                await self.outbox.drained.wait()
+                self.sock.shutdown(socket.SHUT_WR)
+                while await asyncio.get_running_loop().sock_recv(self.sock, 65_536):
+                    pass
 
     def _message(self, message: fastcgi.Message) -> None:
         match message:
             case fastcgi.Call():
+                self.calls += 1
                 self._call(message)
             case fastcgi.Aborted(number):
-                request_id = self.open.pop(number, None)
+                life = self.open.pop(number, None)
                 self._send(number, fastcgi.end_request(number))
-                if request_id is not None:
-                    self.front.core.leave(request_id)
-            case fastcgi.Reply(data, fault):
-                if fault:
-                    self.front.bad(fault)
+                if life is not None:
+                    self.front.core.leave(life)
+            case fastcgi.Reply(data, fault, last):
                 self.outbox.post(Parcel(data))
+                if fault:
+                    self._fault(fault)
+                self.ending |= last
+
+    def _fault(self, text: str) -> None:
+        self.front.bad(text)
+        self.faults += 1
+        self.ending |= self.faults >= FAULTS
+
+    def _fail_all(self) -> None:
+        """The records can't be told apart any more: what is open is answered, and the connection ends."""
+        numbers = list(self.parser.open)
+        self._leave_all()
+        for number in numbers:
+            self._send(number, fastcgi.answer(number, "400 Bad Request", {}, b""))
+        self.parser.partial.clear()
+        self.ending = True
+
+    answered: asyncio.Future[None] | None = None
 
     def _send(self, number: int, data: bytes) -> None:
         self.parser.open.discard(number)
+        self.used_at = time.monotonic()
         self.outbox.post(Parcel(data))
-        if self.ending and not self.parser.open and not self.parser.partial:
-            self.front.end_after_writing(self)
+        if self.answered is not None and not self.answered.done():
+            self.answered.set_result(None)
 
     def _call(self, call: fastcgi.Call) -> None:
         self.ending |= not call.keep
@@ -155,32 +224,52 @@
                 call.number, fastcgi.answer(call.number, "200 OK" if up else "503 Not Ready", {}, b"")
             )
         if not name.startswith(b"/call/"):
-            self.front.bad(f"path {name[:64]!r}")
+            self._fault(f"path {name[:64]!r}")
             return self._send(call.number, fastcgi.answer(call.number, "404 Not Found", {}, b""))
         try:
-            request = read_request(call.params, call.body, self.front.core.now())
+            request = read_request(call.params, call.body, self.front.core.now(), self.front.classes)
         except ValueError as error:
-            self.front.bad(str(error))
+            self._fault(str(error))
             return self._send(call.number, fastcgi.answer(call.number, "400 Bad Request", {}, b""))
-        if self.front.tally.held > HELD_BYTES:
+        if self.front.tally.held > self.front.most_held:
             self.front.counters.add("answer.overloaded")
             return self._send(call.number, fastcgi.end_request(call.number, fastcgi.Protocol.OVERLOADED))
-        self.open[call.number] = request.id
-        self.front.start(request, lambda answer: self._answer(call.number, request.id, answer))
+        self.open[call.number] = None
+        life = self.front.core.start(request, partial(self._answer, call.number))
+        if life is not None:
+            self.open[call.number] = life
+
+    def _answer(self, number: int, answer: Answer) -> None:
+        del self.open[number]
+        self._send(number, answer_bytes(number, answer))
+
+    def overstays(self, now: float) -> bool:
+        """Does it hold a place for nothing: silent, stuck in half a request, or idle for too long?
 
-    def _answer(self, number: int, request_id: str, answer: Answer) -> None:
-        if self.open.get(number) == request_id:
-            del self.open[number]
-            self._send(number, answer_bytes(number, answer))
+        The platform's clients may be idle for 4 s between requests, but not before the first.
+        """
+        if self.open or self.outbox.pending or self.ending:
+            return False
+        if not self.calls or self.parser.half:
+            return now - (self.half_since if self.calls else self.born) > HALF_S
+        return now - self.used_at > IDLE_S
 
 
 class Front:
     """Accepts clients and keeps track of what is owed to them."""
 
-    def __init__(self, core: Core, counters: Counters, ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        core: Core,
+        counters: Counters,
+        ready: Callable[[], bool],
+        most_clients: int,
+        most_held: int,
+    ) -> None:
         self.core, self.counters, self.ready = core, counters, ready
-        self.clients: dict[Client, asyncio.Task[None]] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.most_clients, self.most_held = most_clients, most_held
+        self.classes = {c.name: c for c in core.settings.classes}
+        self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
         self.tally = Tally()
 
     def bad(self, text: str) -> None:
@@ -188,18 +277,27 @@
         log.warning("bad input of a client: %s", text)
 
     async def sweep(self) -> None:
-        """Cut off clients that take nothing of what is written to them."""
+        """Cut off clients that take nothing of what is written to them, and those that overstay."""
         while True:
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
             for client, task in list(self.clients.items()):
                 if client.outbox.stalled(now, STALLED_S):
                     self.counters.add("client.stalled")
                     task.cancel()
+                elif client.overstays(now):
+                    self.counters.add("client.overstayed")
+                    task.cancel()
 
-    def start(self, request: Request, reply: Callable[[Answer], None]) -> None:
-        # No set of tasks: the core holds each request's mailbox, and through it the task, until its end.
-        asyncio.get_running_loop().create_task(self.core.serve(request, reply))
+    def _make_room(self) -> bool:
+        """End the connection that is least missed: one that never asked, else the one idle for longest."""
+        free = [c for c in self.clients if not (c.open or c.outbox.pending or c.ending)]
+        least = min(free, key=lambda c: (c.calls > 0, c.used_at), default=None)
+        if least is None:
+            return False
+        self.counters.add("client.displaced")
+        self.clients.pop(least).cancel()
+        return True
 
     async def accept(self, sock: socket.socket) -> None:
         """Take in clients until cancelled; being out of descriptors passes."""
@@ -212,6 +310,10 @@
                 log.warning("accept: %s", error)
                 await asyncio.sleep(ACCEPT_PAUSE_S)
                 continue
+            if len(self.clients) >= self.most_clients and not self._make_room():
+                self.counters.add("client.refused")
+                conn.close()
+                continue
             conn.setblocking(False)
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.counters.add("client.accepted")
@@ -220,16 +322,6 @@
             self.clients[client] = task
             task.add_done_callback(lambda _, client=client: self.clients.pop(client, None))  # type: ignore[misc]
 
-    def end_after_writing(self, client: Client) -> None:
-        async def end() -> None:
-            await client.outbox.drained.wait()
-            if task := self.clients.get(client):
-                task.cancel()
-
-        task = asyncio.get_running_loop().create_task(end())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     async def finish(self) -> None:
         """Wait until all that is owed is answered and written, then close every connection."""
         await self.core.idle.wait()
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -133,7 +133,8 @@
         """SIGTERM, which must end the program cleanly."""
         if self.program.poll() is None:
             self.program.send_signal(signal.SIGTERM)
-        self.program.communicate(timeout=PATIENCE_S)
+        _, logged = self.program.communicate(timeout=PATIENCE_S)
+        print(logged)  # shown where a test fails
         for sock in (*self.open.values(), *self.listeners.values()):
             sock.close()
         assert self.program.returncode == 0
