Contain spoilt answers: more links, stuck ones closed, second copies, resets weigh less

Causes: caches.py, LINKS = 2, so one spoilt answer took half of a member's requests; an answer that stopped short was waited for to the deadline, with all behind it; Router._fault took those resets for full failures of the member, six at one instant ejecting a sound cache as silent and then cold. Ruled out: descriptors (28 of 384), CPU (0.25 of a second at most), the feed (reconnected in time).

Now: two to eight links a member, by the limits; what must not run twice has one to itself; an answer that brings nothing for 0.6 s closes its link (bytes waiting in the socket count as progress); ids answered on a link are remembered, so a second copy can't pass for a later attempt; bulks over 256 KB are no answer. In the module: a reset is half a failure, and what breaks within 50 ms counts once; an overdue attempt of a class safe to repeat gets a second copy elsewhere where answers are not late; a client that leaves takes its young attempts back.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -96,6 +96,7 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.writes = {c.name for c in settings.classes if c.write}
+        self.once = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
         self.router = Router(settings, seed, self.now())
         self.tell()
 
@@ -274,9 +275,10 @@
     def _order(self, request: Request, action: i.Attempt | i.Fetch) -> Order:
         decided, left = self.now(), request.arrived_us + request.timeout_us - self.now()
         timeout = min(left, action.timeout_us) if action.timeout_us else left
+        alone = request.class_name in self.once
         if isinstance(action, i.Attempt):
             good = partial(self.members.still_good, action.member, None, request, decided)
-            return Order(request, action.member, timeout, still_good=good)
+            return Order(request, action.member, timeout, alone=alone, still_good=good)
         source = None if action.source == action.member else action.source
         return Order(
             request,
@@ -286,6 +288,7 @@
             action.rank,
             action.max_age_us,
             action.flags,
+            alone,
             partial(self.members.still_good, action.member, source, request, decided),
         )
 
--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -56,6 +56,7 @@
     rank: int = 0
     max_age_us: int = 0
     flags: i.FillFlag = i.FillFlag.NONE
+    alone: bool = False  # must not run twice: it is to share its fate with no other attempt
     still_good: Callable[[], bool] = field(default=lambda: True, compare=False)
     """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
 
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -31,6 +31,8 @@
 
 # Health.
 EJECT_AT = 0.3  # failing share (weighted to the last few answers) at which a member is ejected
+BROKEN = 0.5  # of a failure: a connection that broke, as that is no proof against the member behind it
+BROKE_US = 50_000  # what breaks within this time broke together, with one connection: it counts once
 BLAME = 0.2  # weight of one answer in that share: two failures in a row eject, one does not
 EJECT_US, EJECT_MAX_US = 1 * S, 8 * S  # first and longest ejection; doubled each time in between
 NOTICE_US = 5 * S  # the list tells of a restart within this time, as a rule
@@ -96,6 +98,7 @@
     lateness: float = 0.0  # share of late answers among the last few
     ended_at: int = 0  # end and length of the last attempt at it or through it
     lasted: int = 0
+    broke_at: int = -BROKE_US  # when an attempt was last cut off
     pending: dict[tuple[str, int], None] = field(default_factory=dict)
     spent: deque[list[float]] = field(default_factory=deque)  # [time, cost] within the overload window
 
@@ -111,6 +114,7 @@
     charge: list[float] | None = None  # what it was booked at with a cold source
     pending: bool = True
     cancelled: bool = False
+    doubled: bool = False  # a second copy was sent, as it was overdue
     missed: bool = False  # a plain look that found nothing
     held: bool = False  # its source gives only what it holds
 
@@ -177,7 +181,9 @@
                     self._ended(event)
                 case i.ClientLeft(request):
                     if job := self.jobs.get(request):
-                        self._cancel_rest(job)  # nobody waits for what is still out
+                        # Nobody waits for what is still out; what is nearly done may leave a copy.
+                        young = self.now - self.latency[job.kind.name].mean
+                        self._cancel_rest(job, int(young))
                         self._close(job)
                 case i.MembersChanged():
                     self._listed(event)
@@ -597,9 +603,9 @@
         else:
             self._answer(job)
 
-    def _cancel_rest(self, job: Job) -> None:
+    def _cancel_rest(self, job: Job, since: int = -1) -> None:
         for n, f in enumerate(job.flights):
-            if f.pending and not f.cancelled and self.set.limits.cancel:
+            if f.pending and not f.cancelled and self.set.limits.cancel and f.sent > since:
                 f.cancelled = True
                 self.out.append(i.Cancel(job.ask.request, n))
 
@@ -673,7 +679,13 @@
         elif lost or source is None:
             if event.status is i.Status.FULL:
                 self._room(peer, True)
-            self._blame(peer, 1.0, lost)
+            if event.status is not i.Status.RESET:
+                self._blame(peer, 1.0, lost)
+            elif self.now - peer.broke_at >= BROKE_US:
+                # Answers come spoilt and connections break at sound members too. One that died refuses
+                # the next connection, which counts in full. Could hurt where a member only ever cuts off.
+                self._blame(peer, BROKEN, False)
+                peer.broke_at = self.now
         else:
             # An answer that doesn't tell which side failed or refused counts half at each: the cache's
             # hits clear it, only fills clear the source. Else a refusing parent looks like full caches.
@@ -725,6 +737,30 @@
         """Answers that a sound member would have given since then, by what this router heard before."""
         return peer.heard / HEARD_US * (self.now - since) or len(peer.pending) / 2
 
+    def _double(self, job: Job, flight: Flight) -> None:
+        """A second copy elsewhere of what is overdue where others are answered in time: lost, as a rule.
+
+        Guards against answers that never come. Could hurt in a jam, where more attempts make it worse: late
+        answers stop it, and it is paid for from the retries.
+        """
+        jammed = any(p.lateness > JAMMED for p in (flight.peer, flight.source) if p)
+        alone = sum(f.pending for f in job.flights) == 1 and len(job.flights) < self.set.limits.attempts
+        safe = job.kind.repeat is i.Repeat.SAFE and self.set.limits.second_copies
+        if (
+            jammed
+            or not alone
+            or not safe
+            or flight.doubled
+            or self.retries < 1
+            or flight.peer not in self.caches
+        ):
+            return
+        cache, source = self._cache(job), self._source(job)
+        if cache is not None and source is not None and cache is not flight.peer:
+            flight.doubled = True
+            self.retries -= 1.0
+            self._fly(job, cache, source)
+
     def _overdue(self, job: Job, number: int) -> None:
         """An attempt is overdue. If its cache, or the source of its fill, has said nothing since it was sent
         the silence counts as failure, and what is out there and can be repeated is taken back."""
@@ -734,6 +770,7 @@
         wait = int(self.latency[kind.name].late())
         mute = next((p for p in (flight.peer, flight.source) if p and self._mute(p, flight.sent)), None)
         if mute is None or mute is self.origin:
+            self._double(job, flight)
             if self.now + wait < job.deadline:
                 self._at(self.now + wait, job.ask.request, number)
             return
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import logging
 import socket
+import sys
+import termios
 import time
 from dataclasses import dataclass
 from functools import cache
@@ -18,7 +21,12 @@
 from onyxwick.net.outbox import Outbox, Parcel, Progress, Tally
 
 log = logging.getLogger(__name__)
-LINKS = 2  # connections to one member; each carries many requests, and few make for full reads
+LINKS_LEAST, LINKS_MOST = 2, 8  # connections to one member: one spoilt answer takes all others on its own
+RECENT = 128  # ids answered on one connection that are remembered
+STUCK_S = (
+    0.6  # an answer that has begun and brings nothing for so long stops short: its connection is of no use
+)
+SWEEP_S = 0.2
 SPOILED = 256  # given-up ids on one connection after which it takes no new ones
 IDLE_S = 10.0  # under the time after which the other side closes: no send crosses its close
 STALLED_S = 3.0  # a write that moves nothing for so long means that the machine is gone
@@ -111,6 +119,7 @@
     result: asyncio.Future[Outcome]
     sent_at: float
     tagged: bool  # the client's copy was named: `unchanged` may be the answer
+    alone: bool  # must not run twice: another's spoilt answer shall not take it along
 
     def settle(self, outcome: Outcome) -> None:
         if not self.result.done():
@@ -124,6 +133,14 @@
         self.caches, self.member, self.address = caches, member, address
         self.calls: dict[bytes, Call] = {}
         self.spoiled: set[bytes] = set()  # given up here: a late answer must not pass for a later attempt's
+        self.recent: dict[
+            bytes, None
+        ] = {}  # answered here: a second copy must not pass for a later attempt's
+        self.parser = resp.Parser()
+        self.unread, self.moved_at = (
+            0,
+            0.0,
+        )  # of an answer that has begun: what waits in the socket, and since when
         self.up = self.retired = self.closed = False
         self.heard_at = self.used_at = time.monotonic()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -137,14 +154,14 @@
         self.task.cancel()
 
     def takes(self, request_id: bytes) -> bool:
-        if self.retired or len(self.spoiled) >= SPOILED:
+        if self.retired or len(self.spoiled) >= SPOILED or any(call.alone for call in self.calls.values()):
             return False
-        return request_id not in self.calls and request_id not in self.spoiled
+        return not (request_id in self.calls or request_id in self.spoiled or request_id in self.recent)
 
     def call(self, order: Order) -> Call:
         request_id, now = order.request.id.encode(), time.monotonic()
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
-        call = Call(request_id, Parcel(b""), future, now, bool(order.request.held_tag))
+        call = Call(request_id, Parcel(b""), future, now, bool(order.request.held_tag), order.alone)
         call.parcel = Parcel(request_bytes(order), order.still_good, lambda: self._dropped(call))
         self.calls[request_id] = call
         self.used_at = now
@@ -201,9 +218,10 @@
             await asyncio.gather(writer, reader, return_exceptions=True)
 
     async def _read(self) -> None:
-        loop, parser, mark = asyncio.get_running_loop(), resp.Parser(), 1
+        loop, parser, mark = asyncio.get_running_loop(), self.parser, 1
         while await parser.buffer.receive(loop, self.sock):
-            self.heard_at = time.monotonic()
+            self.heard_at = self.moved_at = time.monotonic()
+            self.unread = 0
             for words in parser.messages():
                 self._answered(words)
             # A body comes slowly, in many pieces: one wake-up for what is missing, not one a piece.
@@ -212,13 +230,27 @@
                 mark = missing
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, mark)
 
+    def stuck(self, now: float) -> bool:
+        """Has an answer begun and then stopped? What the socket holds counts, as reads wait."""
+        if not self.up or not len(self.parser.buffer):
+            return False
+        unread = int.from_bytes(fcntl.ioctl(self.sock, termios.FIONREAD, bytes(4)), sys.byteorder)
+        if unread != self.unread:
+            self.unread, self.moved_at = unread, now
+        return now - self.moved_at > STUCK_S
+
     def _answered(self, words: list[bytes]) -> None:
         outcome = read_outcome(words, self.caches.report_names)
         call = self.calls.pop(words[0], None)
-        if call is None:
+        if (
+            call is None
+        ):  # after its attempt was given up, a second copy, or under an id that nobody asked for
             self.caches.counters.add("answer.late")
             self.spoiled.discard(words[0])
             return
+        self.recent[words[0]] = None
+        if len(self.recent) > RECENT:
+            del self.recent[next(iter(self.recent))]
         if outcome.unchanged and not call.tagged:
             raise resp.RespError("'unchanged' to a request that held no copy")
         call.settle(outcome)
@@ -259,7 +291,7 @@
         if address is None or order.timeout_us <= 0 or not order.still_good():
             return Outcome(i.Status.NOT_SENT)
         try:
-            link = self._link(order.member, address, order.request.id.encode())
+            link = self._link(order, address)
         except OSError as error:  # out of descriptors: nothing was sent
             self.counters.add("error.socket")
             log.warning("no socket for %s: %s", order.member, error)
@@ -274,14 +306,15 @@
         finally:
             limit.cancel()
 
-    def _link(self, member: str, address: tuple[str, int], request_id: bytes) -> Link:
+    def _link(self, order: Order, address: tuple[str, int]) -> Link:
         """An unused connection, a new one, or the least used."""
+        member, request_id = order.member, order.request.id.encode()
         links = self.links.setdefault(member, [])
         fit = [link for link in links if link.takes(request_id)]
         least = min(fit, key=lambda link: len(link.calls), default=None)
         if least is not None and not least.calls:
             return least
-        if least is None or (len(fit) < LINKS and self.count < self.most_links):
+        if least is None or ((order.alone or len(fit) < self._most_each()) and self.count < self.most_links):
             if self.count >= self.most_links:
                 self._close_idle()
             least = Link(self, member, address)
@@ -289,6 +322,10 @@
             self.count += 1
         return least
 
+    def _most_each(self) -> int:
+        """Connections to one member, so that all members have theirs."""
+        return max(LINKS_LEAST, min(LINKS_MOST, self.most_links // (len(self.members.listed) + 1)))
+
     def _close_idle(self) -> None:
         idle = [link for links in self.links.values() for link in links if not link.calls]
         if idle:
@@ -312,11 +349,14 @@
     async def sweep(self) -> None:
         """Close what is idle, or retired and empty."""
         while True:
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
             before = now - IDLE_S
             for links in list(self.links.values()):
                 for link in links:
+                    if link.stuck(now):
+                        self.counters.add("bad.stuck")
+                        link.drop()
                     if link.outbox.stalled(now, STALLED_S):
                         link.drop()
                     if not link.calls and not link.outbox.pending and (link.retired or link.used_at < before):
--- a/onyxwick/net/resp.py
+++ b/onyxwick/net/resp.py
@@ -6,7 +6,7 @@
 
 from onyxwick.net.buffer import Buffer
 
-MAX_WORDS, MAX_BULK = 16, 1_048_576  # over these it is no answer of the platform's
+MAX_WORDS, MAX_BULK = 16, 262_144  # over these it is no answer of the platform's
 ARRAY, BULK, CR, LF = b"*$\r\n"
 LINE = 32  # longest line with a count or a length
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -205,3 +205,39 @@
         return peer.room
 
     assert room(50_000) == 0.9 > room(2 * S)
+
+
+def test_what_breaks_together_counts_once() -> None:
+    """One spoilt answer cuts off all others on its connection: no cause to eject it (garble)."""
+    w = World(members=(CACHES[0], *PARENTS, ORIGIN))
+    for _ in range(6):
+        w.ask(name=f"o{w.asked}")
+    for n in range(6):
+        w.end(i.Status.RESET, request=f"r{n + 1}", final=False)
+    peer = w.router.peers["c0"]
+    assert not peer.ejected and w.router._cold(peer) == 1.0
+
+
+def test_an_overdue_answer_is_asked_for_elsewhere() -> None:
+    """An answer that never comes, from a cache that answers others: a second copy is sent (garble)."""
+    w = World(replace(SETTINGS, limits=replace(SETTINGS.limits, second_copies=True)))
+    first = fetched(w.ask(name="lost", left=6 * S))
+    copies = []
+    for _ in range(50):
+        copies += sent(w.pass_time(100_000))
+        for p in w.router.peers.values():
+            p.alive_at = w.now
+    (second,) = copies
+    assert second.member != first.member
+    cancelled = w.end(i.Status.OK, "r1", attempt=1, member=second.member)
+    assert [a.attempt for a in cancelled if isinstance(a, i.Cancel)] == [0]
+
+
+def test_what_a_client_takes_back_at_once_is_cancelled() -> None:
+    """Its work would be for nothing; a fill that must be nearly done may leave its copy behind (rude)."""
+    w = World()
+    w.ask()
+    assert any(isinstance(a, i.Cancel) for a in w.give(i.ClientLeft("r1")))
+    w.ask()
+    w.now += 2 * S
+    assert not any(isinstance(a, i.Cancel) for a in w.give(i.ClientLeft("r2")))
