--- a/onyxwick/__main__.py
+++ b/onyxwick/__main__.py
@@ -12,6 +12,7 @@
 
 from onyxwick import config
 from onyxwick.lifecycle import Director
+from onyxwick.throttle import Throttle
 
 if TYPE_CHECKING:
     from onyxwick.service import ServiceConfig
@@ -34,7 +35,11 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
+    handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(Throttle())
+    logging.basicConfig(
+        level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", handlers=[handler]
+    )
     try:
         told = config.load()
         service = _service()
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -27,7 +27,8 @@
 log = logging.getLogger(__name__)
 LINGER_S = 0.75  # after SIGTERM connections and requests still come for so long
 
-GC_EVERY = 20_000  # new objects between collections
+GC_EVERY = 20_000  # new objects between collections of the young
+GC_ALL_S = 10.0  # between full collections: ended connections leave cycles, which must not add up over a day
 
 
 class State(Enum):
@@ -105,6 +106,7 @@
                 loop.create_task(self.coordinator.follow(self.config.coordinator)),
                 loop.create_task(self.caches.sweep()),
                 loop.create_task(self.front.sweep()),
+                loop.create_task(self._collect()),
             ]
             side += [loop.create_task(front.run()) for front in self._hosted()]
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
@@ -120,6 +122,11 @@
         self._enter(State.STOPPED)
         self.print_counters()
 
+    async def _collect(self) -> None:
+        while True:
+            await asyncio.sleep(GC_ALL_S)
+            gc.collect()
+
     def _hosted(self) -> list[DnsFront | HttpServer]:
         """The hosted service's fronts. Loaded only where they are wanted: their libraries take memory."""
         if self.service is None:
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -59,7 +59,9 @@
 ROOM_STEP = 0.005  # gained by each answer in time: against LATE_CUT it sets the late share that is borne
 
 
-@lru_cache(maxsize=1 << 16)
+@lru_cache(
+    maxsize=1 << 12
+)  # what a moment asks for again and again; more would be memory for what never comes
 def _draw(key: str, address: str) -> float:
     """A stable exponential draw for a key at a member; the least, over its weight, comes first."""
     word = int.from_bytes(blake2b(f"{key}|{address}".encode(), digest_size=8).digest(), "big")
