An error that names no side is not laid to the source where answers tell all

A trace of what was given up: no source fitted, the parents' learned load limit being at 0.07 to 0.13. A trace of what cut it: 115 of 128 cuts came from 'failed' answers without a note. Lines at fault: Router._fault, last branch, which halves the blame of an untold failure between cache and source; with answers_tell 'all' the sides are told, and what names none is the cache's own trouble.

Test: test_failures.py, last.

--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -691,9 +691,11 @@
         else:
             # An answer that doesn't tell which side failed or refused counts half at each: the cache's
             # hits clear it, only fills clear the source. Else a refusing parent looks like full caches.
-            self._room(behind or source, True, event.status is i.Status.FULL)
+            # Where all is told, an error that names no side is the cache's own or its connection's.
             self._blame(peer, 0.5, False)
-            self._blame(source, 0.5, False)
+            if event.status is not i.Status.ERROR or self.set.answers_tell != "all":
+                self._room(behind or source, True, event.status is i.Status.FULL)
+                self._blame(source, 0.5, False)
 
     # ---- health ---------------------------------------------------------------------------------------
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -241,3 +241,13 @@
     w.ask()
     w.now += 2 * S
     assert not any(isinstance(a, i.Cancel) for a in w.give(i.ClientLeft("r2")))
+
+
+def test_an_error_that_names_no_side_is_not_the_sources() -> None:
+    """Where answers tell all, a cache's own error shrinks no parent and leaves none out (reset)."""
+    w = World()
+    for n in range(30):
+        get = fetched(w.ask(name=f"o{n}"))
+        w.end(i.Status.ERROR, member=get.member)
+    assert all(w.router.peers[p.address].room >= 1.0 for p in (*PARENTS, ORIGIN))
+    assert not any(w.router.peers[p.address].ejected for p in PARENTS)
