Command line on click, structured logs, and HCL for the hosted service

The registry's HCL reader (python-hcl2 8.1) was tried first: it gives no lines for attributes, so a grammar of ours under lark reads blocks and literals, each with its line. The TOML reader and its files are gone.

--- a/examples/toy.py
+++ b/examples/toy.py
@@ -13,8 +13,8 @@
 import time
 from pathlib import Path
 
+from onyxwick.config.address import read_address
 from onyxwick.net import fastcgi, resp
-from onyxwick.net.coordinator import read_address
 
 CONFIG = json.loads((Path(__file__).parent / "config.json").read_text())
 
--- a/onyxwick/admin/api.py
+++ b/onyxwick/admin/api.py
@@ -8,6 +8,7 @@
 import dns.rdatatype
 
 from onyxwick.admin.http import HttpError, HttpRequest
+from onyxwick.config.service import TOKEN_LEAST
 from onyxwick.counters import Counters
 from onyxwick.tenants import (
     Exists,
@@ -22,7 +23,6 @@
 )
 
 Answer = tuple[int, object]
-TOKEN_LEAST = 16
 
 
 class Api:
--- a/onyxwick/admin/http.py
+++ b/onyxwick/admin/http.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import logging
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,11 +11,13 @@
 import httptools
 import ujson
 
+from onyxwick import logs
+from onyxwick.config.address import written
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer
 from onyxwick.net.front import ACCEPT_PAUSE_S, listen
 
-log = logging.getLogger(__name__)
+log = logs.get()
 MOST_BODY, MOST_HEAD = 524_288, 16_384
 CLIENTS, IDLE_S = 16, 10.0
 REASONS = {
@@ -103,13 +104,13 @@
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         with listen(self.address) as sock:
-            log.info("administration API on %s:%d", *self.address)
+            log.info("administration API on", address=written(self.address))
             try:
                 while True:
                     try:
                         conn, _ = await loop.sock_accept(sock)
                     except OSError as error:
-                        log.warning("accept: %s", error)
+                        log.warning("accept failed", error=str(error))
                         await asyncio.sleep(ACCEPT_PAUSE_S)
                         continue
                     conn.setblocking(False)
@@ -153,7 +154,7 @@
             return cause if isinstance(cause, HttpError) else HttpError(400, "bad request")
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.counters.add("bad.admin")
-            log.warning("bad input to the administration API: %s", error)
+            log.warning("bad input to the administration API", error=str(error))
             return HttpError(400, "no HTTP request")
         finally:
             for request in collector.done:
@@ -170,5 +171,5 @@
             return response(error.status, {"error": error.text}, error.headers)
         except Exception:
             self.counters.add("error.admin")
-            log.exception("error in %s %s", request.method, request.path[:64])
+            log.exception("error in a call", method=request.method, path=request.path[:64])
             return response(500, {"error": "internal error"})
--- a/onyxwick/config.py
+++ b/onyxwick/config/relay.py
@@ -11,14 +11,10 @@
 import ujson
 
 from onyxwick import interface as i
-from onyxwick.net.coordinator import read_address
+from onyxwick.config.address import read_address
+from onyxwick.config.errors import ConfigError
 from onyxwick.settings import Pairs, SettingError, read_settings
 
-
-class ConfigError(Exception):
-    """The configuration cannot be used; the text names the field."""
-
-
 BASE_MB = 32  # of memory, used by the program as it starts
 SPARE_SOCKETS = 24  # standard streams, the event loop's own, the feed, the door and some in reserve
 OPEN_BYTES = 65_536  # memory that a request is reckoned at: its answer as it comes and as it goes
--- /dev/null
+++ b/onyxwick/config/service.py
@@ -0,0 +1,78 @@
+"""The hosted service's configuration: an HCL file of its own. Without it both its fronts are off."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from onyxwick.config import hcl
+from onyxwick.config.address import Address
+from onyxwick.config.errors import ConfigError
+from onyxwick.config.fields import Fields
+from onyxwick.tenants import QUOTA_PER_S, Tenant, TenantError, Tenants, read_key, read_quota, read_zone_file
+
+DEADLINE_US = 1_000_000
+TOKEN_LEAST = 16
+
+
+@dataclass(slots=True)
+class ServiceConfig:
+    """Where the DNS front and the administration API listen (None: off), and for whom."""
+
+    tenants: Tenants
+    dns: Address | None = None
+    deadline_us: int = DEADLINE_US
+    admin: Address | None = None
+    token: str = ""
+
+
+def _tenant(row: Fields, folder: Path, tenants: Tenants) -> None:
+    quota = read_quota(row.number("quota_per_s", 0, 1e6, QUOTA_PER_S))
+    tenant = Tenant(row.label, quota, row.text("token", ""))
+    tenants.add(tenant)
+    for key in row.blocks("key", labels=1):
+        tenant.add_key(*read_key(key.label, key.text("secret")))
+        key.done()
+    for zone in row.blocks("zone", labels=1):
+        path, routed = folder / zone.text("file"), zone.text("routed", "")
+        try:
+            tenants.add_zone(read_zone_file(tenant.name, zone.label, path, routed or None))
+        except TenantError as error:
+            raise zone.error("file", str(error)) from None
+        zone.done()
+
+
+def _token(row: Fields, folder: Path) -> str:
+    path = folder / row.text("token_file")
+    try:
+        token = path.read_text().strip()
+    except OSError as error:
+        raise row.error("token_file", f"{path.name}: {error.strerror}") from None
+    if len(token) < TOKEN_LEAST:
+        raise row.error("token_file", f"{path.name} holds no token of {TOKEN_LEAST} characters or more")
+    return token
+
+
+def read(top: Fields, folder: Path) -> ServiceConfig:
+    out = ServiceConfig(Tenants())
+    if dns := top.block_of("dns"):
+        out.dns = dns.address("listen")
+        out.deadline_us = dns.duration("deadline", 10_000, 60_000_000, DEADLINE_US)
+        dns.done()
+    if admin := top.block_of("admin"):
+        out.admin = admin.address("listen", loopback=True)
+        out.token = _token(admin, folder)
+        admin.done()
+    for row in top.blocks("tenant", labels=1):
+        try:
+            _tenant(row, folder, out.tenants)
+        except TenantError as error:
+            raise ConfigError(f"{row.file}:{row.block.line}: {row.where}: {error}") from None
+        row.done()
+    top.done()
+    return out
+
+
+def load(path: Path) -> ServiceConfig:
+    """The service that a file asks for; ConfigError names file, line and field."""
+    return read(Fields(hcl.read(path), path.name), path.parent)
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from collections import deque
 from collections.abc import Callable
@@ -11,12 +10,13 @@
 from functools import partial
 
 from onyxwick import interface as i
+from onyxwick import logs
 from onyxwick.core.members import Members
 from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
 
-log = logging.getLogger(__name__)
+log = logs.get()
 OVERDUE_US = 20_000  # past its deadline a request is answered even if the module forgot it
 RETRY_TIMER_S = 0.1  # after an error on a timer the module is woken again
 MAX_OPEN = 2048  # requests at once, where nothing else is said
@@ -113,7 +113,7 @@
                 delay = max(0, action.at_us - self.now()) / 1e6
                 asyncio.get_running_loop().call_later(delay, self._timer, action.at_us, action.token)
             elif isinstance(action, i.Log):
-                log.info("module: %s", action.text)
+                log.info("module", text=action.text)
             elif isinstance(action, i.Subscribe | i.AskList):
                 pass  # the coordinator's events come unasked
             elif life := self.lives.get(action.request):
@@ -128,7 +128,7 @@
             self.tell(i.TimerFired(token))
         except Exception:
             self.counters.add("error.timer")
-            log.exception("error on timer %s", token)
+            log.exception("error on a timer", token=token)
             asyncio.get_running_loop().call_later(RETRY_TIMER_S, self._timer, at, token)
 
     def list_changed(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
@@ -181,7 +181,7 @@
             except Exception:
                 # One request's error is that request's failure, never the process's end.
                 self.counters.add("error.request")
-                log.exception("error in request %s", request.id)
+                log.exception("error in a request", request=request.id)
                 answer = Answer(Verdict.FAILED)
             if answer is not None and not life.gone:
                 self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
@@ -302,7 +302,7 @@
             outcome = Outcome(i.Status.CANCELLED)
         elif error := task.exception():
             self.counters.add("error.attempt")
-            log.error("error in an attempt of %s", life.request.id, exc_info=error)
+            log.error("error in an attempt", request=life.request.id, exc_info=error)
             outcome = Outcome(i.Status.ERROR)
         else:
             outcome = task.result()
--- a/onyxwick/dns/server.py
+++ b/onyxwick/dns/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import logging
 import socket
 import struct
 from collections.abc import Callable
@@ -22,15 +21,17 @@
 import dns.tsig
 import dns.update
 
+from onyxwick import logs
+from onyxwick.config.address import written
+from onyxwick.config.service import ServiceConfig
 from onyxwick.core import Answer, Core, Verdict
 from onyxwick.counters import Counters
 from onyxwick.dns import lookup, naming, update
 from onyxwick.net.buffer import Buffer
 from onyxwick.net.front import listen
-from onyxwick.service import ServiceConfig
 from onyxwick.tenants import Zone
 
-log = logging.getLogger(__name__)
+log = logs.get()
 PLAIN_SIZE, EDNS_SIZE = 512, 1232  # answers over UDP without and with EDNS
 QUERIES = 512  # under way at once; over it UDP queries are dropped, as the asker comes again
 TCP_CLIENTS, TCP_IDLE_S = 32, 10.0
@@ -107,7 +108,7 @@
 
     def _bad(self, text: str) -> None:
         self.counters.add("bad.dns")
-        log.warning("bad input to the DNS front: %s", text)
+        log.warning("bad input to the DNS front", detail=text)
 
     async def _answer(self, query: dns.message.Message, udp: bool, send: Send) -> None:
         response = dns.message.make_response(query, our_payload=EDNS_SIZE)
@@ -257,7 +258,7 @@
         assert self.address is not None
         transport, _ = await loop.create_datagram_endpoint(lambda: _Udp(self), local_addr=self.address)
         with listen(self.address) as sock:
-            log.info("DNS front on %s:%d", *self.address)
+            log.info("DNS front on", address=written(self.address))
             try:
                 await self._accept(sock)
             finally:
@@ -272,7 +273,7 @@
                 conn, _ = await loop.sock_accept(sock)
             except OSError as error:
                 self.counters.add("error.accept")
-                log.warning("accept: %s", error)
+                log.warning("accept failed", error=str(error))
                 await asyncio.sleep(0.05)
                 continue
             conn.setblocking(False)
--- /dev/null
+++ b/onyxwick/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: emulators, load, audit. Never imported by what serves."""
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -4,14 +4,20 @@
 
 import asyncio
 import gc
-import logging
+import os
 import signal
 import socket
+import sys
 from enum import Enum
+from pathlib import Path
 from typing import TYPE_CHECKING
 
-from onyxwick import config as configuration
-from onyxwick.config import Config
+import uvloop
+
+from onyxwick import logs
+from onyxwick.config import ConfigError, relay
+from onyxwick.config.address import written
+from onyxwick.config.relay import Config
 from onyxwick.core import Core
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
@@ -21,10 +27,11 @@
 
 if TYPE_CHECKING:
     from onyxwick.admin.http import HttpServer
+    from onyxwick.config.service import ServiceConfig
     from onyxwick.dns.server import DnsFront
-    from onyxwick.service import ServiceConfig
 
-log = logging.getLogger(__name__)
+log = logs.get()
+SERVICE_FILE = Path(__file__).parents[1] / "deploy" / "service.hcl"
 LINGER_S = 0.75  # after SIGTERM connections and requests still come for so long
 
 GC_EVERY = 20_000  # new objects between collections of the young
@@ -69,7 +76,7 @@
 
     def _enter(self, state: State) -> None:
         self.state = state
-        log.info("%s: %s", self.config.name, state.value)
+        log.info(state.value, name=self.config.name)
 
     def _signals(self) -> None:
         loop = asyncio.get_running_loop()
@@ -84,13 +91,13 @@
         Only the coordinator can move under way. Requests and attempts are not touched.
         """
         try:
-            told = configuration.load()
-        except configuration.ConfigError as error:
+            told = relay.load()
+        except ConfigError as error:
             self.counters.add("reload.bad")
-            log.error("configuration kept as it was: %s", error)
+            log.error("configuration kept as it was", error=str(error))
             return
         self.counters.add("reload.read")
-        log.info("configuration read again; coordinator at %s:%d", *told.coordinator)
+        log.info("configuration read again", coordinator=written(told.coordinator))
         self.coordinator.move(told.coordinator)
 
     def print_counters(self) -> None:
@@ -156,3 +163,29 @@
         await asyncio.gather(accepting, return_exceptions=True)
         sock.close()
         await self.front.finish()
+
+
+def read_service() -> ServiceConfig | None:
+    """The hosted service, if a file of ours asks for it. ONYXWICK_SERVICE names another file."""
+    path = Path(os.environ.get("ONYXWICK_SERVICE") or SERVICE_FILE)
+    if not path.exists():
+        return None
+    from onyxwick.config.service import load
+
+    return load(path)
+
+
+def main() -> int:
+    """One director in the foreground, told by RELAY_CONFIG, RELAY_LISTEN and RELAY_NAME; its exit code."""
+    logs.set_up()
+    try:
+        told, service = relay.load(), read_service()
+    except ConfigError as error:
+        print(f"onyxwick: {error}", file=sys.stderr)
+        return 2
+    uvloop.run(_run(told, service))
+    return 0
+
+
+async def _run(told: Config, service: ServiceConfig | None) -> None:
+    await Director(told, service).run()
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-import logging
 import socket
 import time
 from dataclasses import dataclass
 from functools import cache
 
 from onyxwick import interface as i
+from onyxwick import logs
 from onyxwick.core.members import Members
 from onyxwick.core.model import Order, Outcome
 from onyxwick.counters import Counters
@@ -18,7 +18,7 @@
 from onyxwick.net.buffer import unread
 from onyxwick.net.outbox import Outbox, Parcel, Progress, Tally
 
-log = logging.getLogger(__name__)
+log = logs.get()
 LINKS_LEAST, LINKS_MOST = 2, 8  # connections to one member: one spoilt answer takes all others on its own
 RECENT = 128  # ids answered on one connection that are remembered
 STUCK_S = (
@@ -199,7 +199,7 @@
             pass  # told to the attempts below
         except resp.RespError as error:
             self.caches.counters.add("bad.resp")
-            log.warning("connection to %s closed: %s", self.member, error)
+            log.warning("connection closed", member=self.member, error=str(error))
         finally:
             self._close(failed)
 
@@ -292,7 +292,7 @@
             link = self._link(order, address)
         except OSError as error:  # out of descriptors: nothing was sent
             self.counters.add("error.socket")
-            log.warning("no socket for %s: %s", order.member, error)
+            log.warning("no socket", member=order.member, error=str(error))
             return Outcome(i.Status.NOT_SENT)
         call = link.call(order)
         limit = asyncio.get_running_loop().call_later(order.timeout_us / 1e6, link.expire, call)
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from typing import Any
 
 import ujson
 
 from onyxwick import interface as i
+from onyxwick import logs
+from onyxwick.config.address import read_address
 from onyxwick.core import Core
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer
 
-log = logging.getLogger(__name__)
+log = logs.get()
 SILENT_S = 2.2  # a line comes each second: without one for so long the connection is broken
 CONNECT_S = 0.8  # with the silence before it under the 4 s after which an event counts as told
 AGAIN_S = 0.1  # between attempts to connect
@@ -22,13 +23,6 @@
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
 
-def read_address(text: object) -> tuple[str, int]:
-    host, mark, port = str(text).rpartition(":")
-    if not mark or not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65_536:
-        raise ValueError(f"bad address {str(text)[:64]!r}")
-    return host, int(port)
-
-
 def read_members(told: dict[str, Any]) -> tuple[i.MembersChanged, dict[str, tuple[str, int]]]:
     members, addresses = [], {}
     for row in told["servers"]:
@@ -85,7 +79,7 @@
 
     def bad(self, text: str) -> None:
         self.counters.add("bad.coordinator")
-        log.warning("bad input of the coordinator: %s", text)
+        log.warning("bad input of the coordinator", detail=text)
 
     def line(self, text: bytes) -> None:
         try:
@@ -122,7 +116,7 @@
                 await self._follow_once()
             except (OSError, TimeoutError) as error:
                 self.counters.add("coordinator.lost")
-                log.info("coordinator: %r; again after event %d", error, self.last)
+                log.info("coordinator lost", error=repr(error), last=self.last)
             except Exception:
                 self.counters.add("error.coordinator")
                 log.exception("error in the coordinator's events")
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import logging
 import re
 import socket
 import time
@@ -12,13 +11,14 @@
 from functools import partial
 
 from onyxwick import interface as i
+from onyxwick import logs
 from onyxwick.core import Answer, Core, Life, Request, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi
 from onyxwick.net.buffer import unread
 from onyxwick.net.outbox import Outbox, Parcel, Tally
 
-log = logging.getLogger(__name__)
+log = logs.get()
 STALLED_S = 10.0  # a client that takes nothing for so long is cut off
 HALF_S = 2.0  # a connection that has sent nothing, or half a request, for so long is ended
 IDLE_S = (
@@ -286,7 +286,7 @@
 
     def bad(self, text: str) -> None:
         self.counters.add("bad.client")
-        log.warning("bad input of a client: %s", text)
+        log.warning("bad input of a client", detail=text)
 
     async def sweep(self) -> None:
         """Cut off clients that take nothing of what is written to them, and those that overstay."""
@@ -320,7 +320,7 @@
                 conn, _ = await loop.sock_accept(sock)
             except OSError as error:
                 self.counters.add("error.accept")
-                log.warning("accept: %s", error)
+                log.warning("accept failed", error=str(error))
                 await asyncio.sleep(ACCEPT_PAUSE_S)
                 continue
             if len(self.clients) >= self.most_clients and not self._make_room():
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -50,7 +50,7 @@
         self.path.write_text(json.dumps(self.config))
         environment = {**os.environ, "RELAY_CONFIG": str(self.path), "ONYXWICK_SERVICE": str(folder / "none")}
         if hosted:
-            environment["ONYXWICK_SERVICE"] = str(FOLDER / "service.toml")
+            environment["ONYXWICK_SERVICE"] = str(FOLDER / "service.hcl")
         self.program = subprocess.Popen(
             [sys.executable, "-m", "onyxwick"], cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True
         )
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,145 @@
+"""The HCL reader and the typed fields: every error names file, line, field and the likely intent."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from onyxwick.config import ConfigError, hcl, service
+from onyxwick.config.fields import Fields
+from tests.exchange import FOLDER
+
+GOOD = """
+# a comment
+top = 1.5
+object = { "a b" = [1, 2, # inside
+  3], c: null }
+text "one" two {
+  said = "a \\"b\\" \\u00e9 $${x}"
+  long = <<-END
+    first
+      second
+  END
+  inner { flag = true }
+}
+"""
+
+
+def test_values_blocks_and_lines() -> None:
+    top = hcl.parse(GOOD, "x.hcl")
+    assert top.attributes["top"].data == 1.5
+    assert top.attributes["object"].plain() == {"a b": [1, 2, 3], "c": None}
+    (block,) = top.blocks
+    assert (block.type, block.labels, block.line) == ("text", ["one", "two"], 6)
+    assert block.attributes["said"].data == 'a "b" \u00e9 ${x}'
+    assert block.attributes["long"].data == "first\n  second\n"
+    assert block.attributes["long"].line == 8
+    assert block.blocks[0].attributes["flag"].data is True
+
+
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("a = 1\na = 2", "x.hcl:2: field 'a' is set twice, first on line 1"),
+        ("a {\n b = 1", "x.hcl:2: the file ends inside a block"),
+        ('a = "open\n', "x.hcl:1: a text has no end"),
+        ("a = wide", "x.hcl:1: 'wide' is no value: names are not looked up here; did you mean the text"),
+        ("\na : 1", "x.hcl:2: unexpected ':' in 'a : 1'; did you mean '='?"),
+        ('a = file("b")', "x.hcl:1: unexpected '('"),
+        ('a = "${b}"', "x.hcl:1: templates are not filled in here"),
+        ("a = 1 b = 2", "x.hcl:1: two settings on one line"),
+        ('a = "\\q"', "x.hcl:1: unknown escape"),
+        ("a = " + "[" * 40 + "]" * 40, "x.hcl:1: values lie over 32 deep"),
+        ("a = { b = 1, b = 2 }", "x.hcl:1: key 'b' stands twice"),
+    ],
+)
+def test_broken_files_are_told_of(text: str, wanted: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        hcl.parse(text, "x.hcl")
+    assert str(error.value).startswith(wanted)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.text('ab1 ="{}[]\n#/*<-\\:,$.', max_size=40))
+def test_any_text_is_read_or_refused_with_its_line(text: str) -> None:
+    try:
+        hcl.parse(text, "x.hcl")
+    except ConfigError as error:
+        assert str(error).startswith("x.hcl:")
+
+
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("wait = 500", "x.hcl:1: field 'wait': 500 has no unit; did you mean \"500ms\""),
+        ('wait = "500s"', "x.hcl:1: field 'wait': 500s is not between 1ms and 1min; did you mean \"500ms\"?"),
+        ('wait = "5 parsecs"', "x.hcl:1: field 'wait': expected a number with one of the units us, ms, s"),
+        ('wait = "1s"\nwiat = 3', "x.hcl:2: field 'wiat': is not known here; did you mean 'wait'?"),
+        ('wait = "1s"\npart = 40', "x.hcl:2: field 'part': a share lies between 0 and 1; did you mean 0.4?"),
+        ('wait = "1s"\nlist = "a"', "x.hcl:2: field 'list': expected a list; did you mean [\"a\"]?"),
+        ('wait = "1s"\nlist = ["a", "a"]', "x.hcl:2: field 'list': 'a' stands twice"),
+        ('wait = "1s"\nbox {}', "x.hcl:2: a block 'box' has 1 label, as box \"NAME\", found 0"),
+        ('wait = "1s"\nbox "a" {}\nbox "a" {}', "x.hcl:3: block 'box' \"a\" stands twice, first on line 2"),
+        ('wait = "1s"\nbxo "a" {}', "x.hcl:2: block 'bxo' is not known here; did you mean 'box'?"),
+        ("part = 1", "x.hcl:1: field 'wait': is missing"),
+        ('wait = "1s"\nkind = "sloww"', "x.hcl:2: field 'kind': 'sloww' is none of slow, fast; did you mean"),
+        ('wait = "1s"\ncount = 1.5', "x.hcl:2: field 'count': 1.5 is no whole number"),
+    ],
+)
+def test_typed_fields_tell_what_was_meant(text: str, wanted: str) -> None:
+    fields = Fields(hcl.parse(text, "x.hcl"), "x.hcl")
+    with pytest.raises(ConfigError) as error:
+        fields.duration("wait", 1_000, 60_000_000)
+        fields.share("part", 0.5)
+        fields.texts("list", [])
+        fields.choice("kind", ["slow", "fast"], "slow")
+        fields.whole("count", 0, 9, 1)
+        fields.blocks("box", labels=1)
+        fields.done()
+    assert str(error.value).startswith(wanted)
+
+
+def test_the_service_file_is_read_whole_or_refused(tmp_path: Path) -> None:
+    told = service.load(FOLDER / "service.hcl")
+    assert told.dns == ("127.77.0.1", 15353) and list(told.tenants.tenants) == ["depot"]
+    text = (FOLDER / "service.hcl").read_text()
+    for wrong, wanted in (
+        (
+            text.replace("depot.zone", "depot.zoen"),
+            "service.hcl:20: field 'tenant depot.zone depot.test..file'",
+        ),
+        (text.replace("127.77.0.1:18053", "10.0.0.1:18053"), "service.hcl:6: field 'admin.listen'"),
+        (
+            text.replace("quota_per_s", "quota"),
+            "service.hcl:11: field 'tenant depot.quota': is not known here",
+        ),
+        (
+            text.replace("b255eHdpY2stdGVzdC1rZXk=", "c2hvcnQ="),
+            "service.hcl:10: tenant depot: field 'secret'",
+        ),
+    ):
+        for name in ("depot.zone", "operator.token"):
+            (tmp_path / name).write_text((FOLDER / name).read_text())
+        (tmp_path / "service.hcl").write_text(wrong)
+        with pytest.raises(ConfigError) as error:
+            service.load(tmp_path / "service.hcl")
+        assert str(error.value).startswith(wanted)
+
+
+def test_the_command_line(capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    from onyxwick import cli
+
+    def run(*words: str) -> int:
+        monkeypatch.setattr("sys.argv", ["onyxwick", *words])
+        return cli.main()
+
+    assert run("config", "check", "--json", str(FOLDER / "service.hcl"), str(FOLDER / "config.json")) == 0
+    kinds = [row["kind"] for row in json.loads(capsys.readouterr().out)["files"]]
+    assert kinds == ["service", "director"]
+    assert run("config", "check", str(FOLDER / "served.txt")) == 2
+    assert "served.txt:" in capsys.readouterr().out
+    assert run("no-such-command") == 2 and run("--help") == 0
--- a/tests/test_dns_routing.py
+++ b/tests/test_dns_routing.py
@@ -14,12 +14,12 @@
 import dns.update
 
 from onyxwick import interface as i
+from onyxwick.config.service import load
 from onyxwick.core import Core
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
 from onyxwick.dns.naming import Naming
 from onyxwick.dns.server import DnsFront
-from onyxwick.service import load
 from tests.exchange import DNS, FOLDER
 from tests.world import SETTINGS, member
 
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         self.members, self.counters = Members(), Counters()
         self.core = Core(SETTINGS, 7, Naming(), self.members, self.counters)
-        config = load(FOLDER / "service.toml")
+        config = load(FOLDER / "service.hcl")
         self.front = DnsFront(self.core, self.counters, config)
         self.asked: dict[str, list[float]] = {box: [] for box in BOXES}
 
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,54 @@
+"""A flood of bad input fills no log, and a log line is JSON where nobody looks on."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Mapping
+
+import pytest
+import structlog
+import ujson
+
+from onyxwick import logs
+
+
+def test_a_flood_of_lines_is_cut_and_counted() -> None:
+    now = [0.0]
+    throttle = logs.Throttle(lambda: now[0])
+
+    def passes(event: str) -> Mapping[str, object] | None:
+        try:
+            return throttle(None, "warning", {"event": event, "detail": "x"})
+        except structlog.DropEvent:
+            return None
+
+    assert sum(passes("bad input") is not None for _ in range(500)) == logs.MOST_PER_S
+    assert passes("another kind"), "it has lines of its own"
+    now[0] = 1.0
+    assert (passes("bad input") or {})["left_out"] == 490
+
+
+def test_lines_are_json_and_errors_carry_their_trace() -> None:
+    stream = io.StringIO()
+    try:
+        logs.set_up(stream)
+        try:
+            raise ValueError("planted")
+        except ValueError:
+            structlog.get_logger().exception("error in a test", request="r/1")
+    finally:
+        structlog.reset_defaults()
+    line = ujson.loads(stream.getvalue())
+    assert (line["event"], line["level"], line["request"]) == ("error in a test", "error", "r/1")
+    assert "ValueError: planted" in line["exception"]
+
+
+@pytest.mark.parametrize("value", [object(), {1, 2}, b"\xff"])
+def test_what_json_cannot_hold_does_not_lose_the_line(value: object) -> None:
+    stream = io.StringIO()
+    try:
+        logs.set_up(stream)
+        structlog.get_logger().warning("odd", value=value)
+    finally:
+        structlog.reset_defaults()
+    assert ujson.loads(stream.getvalue())["event"] == "odd"
