--- a/onyxwick/admin/api.py
+++ b/onyxwick/admin/api.py
@@ -7,6 +7,7 @@
 
 import dns.rdatatype
 
+from onyxwick.admin.cells import CellsApi
 from onyxwick.admin.http import HttpError, HttpRequest
 from onyxwick.config.service import TOKEN_LEAST
 from onyxwick.counters import Counters
@@ -27,9 +28,15 @@
 
 class Api:
     def __init__(
-        self, tenants: Tenants, counters: Counters, token: str, health: Callable[[], dict[str, object]]
+        self,
+        tenants: Tenants,
+        counters: Counters,
+        token: str,
+        health: Callable[[], dict[str, object]],
+        cells: CellsApi | None = None,
     ) -> None:
         self.tenants, self.counters, self.token, self.health = tenants, counters, token, health
+        self.cells = cells
 
     def __call__(self, request: HttpRequest) -> Answer:
         path = [part for part in request.path.split("/") if part]
@@ -77,6 +84,9 @@
         if path == ["tenants"]:
             self._operator(caller)
             return self._tenants(request)
+        if path[:1] == ["cells"] and self.cells is not None:
+            self._operator(caller)
+            return self.cells(request, path[1:])
         if len(path) < 2 or path[0] != "tenants":
             raise HttpError(404, "nothing here")
         tenant = self.tenants.tenants.get(path[1])
--- /dev/null
+++ b/onyxwick/cells/model.py
@@ -0,0 +1,165 @@
+"""What operators say of cells: a plan, checked whole. Types and their checks only."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+S = 1_000_000
+WARM_US, BAKE_US, SEAT_US = 20 * S, 5 * S, 120 * S
+TENANT_FIELD, RESERVED = "X-Tenant", 0.7
+KEYS = 256  # key ranges are told in the first byte of an object's hash
+MOST_CELLS, MOST_TENANTS, MOST_MOVES, MOST_SPAN = 1024, 100_000, 256, 16  # bounds on memory
+
+
+class PlanError(ValueError):
+    """A plan that cannot be used. Names what is wrong: the kind of row, its name and its field."""
+
+    def __init__(self, kind: str, name: str, field_name: str, text: str) -> None:
+        super().__init__(f"{kind} '{name}': {field_name}: {text}")
+        self.kind, self.name, self.field, self.text = kind, name, field_name, text
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """A part of the fleet. Without members of its own it shares those that no cell names, by weight."""
+
+    name: str
+    members: tuple[str, ...] = ()
+    weight: float = 1.0
+    fallback: str | None = None  # who takes its requests, within spare room, when it has no boxes left
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRange:
+    """Objects of a tenant whose hash begins with a byte from `first` to `last`."""
+
+    first: int
+    last: int
+    cells: tuple[str, ...]
+
+    def overlaps(self, other: KeyRange | MoveOrder) -> bool:
+        return self.first <= other.last and other.first <= self.last
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """Who asks. Its cells are named, or `span` of them are chosen by shuffle sharding."""
+
+    name: str
+    weight: float = 1.0
+    span: int = 1
+    cells: tuple[str, ...] = ()
+    ranges: tuple[KeyRange, ...] = ()
+    rate_per_s: float = 0.0  # requests a second at one director; 0: not limited
+    most_open: int = 0  # requests at once at one director; 0: what its cell allows
+
+
+@dataclass(frozen=True, slots=True)
+class MoveOrder:
+    """A tenant, or a key range of it, is to go to other cells. `begins_us`: Unix time, 0 for at once."""
+
+    name: str
+    tenant: str
+    to: tuple[str, ...]
+    first: int = 0
+    last: int = KEYS - 1
+    begins_us: int = 0
+    warm_us: int = WARM_US  # in which the share of the new cells grows to all, at the fastest
+    bake_us: int = BAKE_US  # after the cut, before the old cells are let go
+
+    def overlaps(self, other: KeyRange | MoveOrder) -> bool:
+        return self.first <= other.last and other.first <= self.last
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What holds for all cells of a director."""
+
+    tenant_field: str = TENANT_FIELD  # the request field that names the tenant
+    default_tenant: str | None = None  # whose a request is that names none
+    seat_us: int = SEAT_US  # for so long a box that is gone keeps its cell's seat
+    reserved: float = RESERVED  # of each bound: split between the cells for good; the rest is lent
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    cells: Mapping[str, Cell]
+    tenants: Mapping[str, Tenant] = field(default_factory=dict)
+    moves: Mapping[str, MoveOrder] = field(default_factory=dict)
+    policy: Policy = field(default_factory=Policy)
+    version: int = 1
+
+    def same(self, other: Plan) -> bool:
+        """The same but for the version."""
+        mine = (self.cells, self.tenants, self.moves, self.policy)
+        return mine == (other.cells, other.tenants, other.moves, other.policy)
+
+
+def _known(plan: Plan, kind: str, name: str, field_name: str, cells: tuple[str, ...]) -> None:
+    for cell in cells:
+        if cell not in plan.cells:
+            raise PlanError(kind, name, field_name, f"there is no cell '{cell}'")
+
+
+def _check_cell(plan: Plan, cell: Cell, claimed: dict[str, str]) -> None:
+    for member in cell.members:
+        if member in claimed:
+            text = f"'{member}' is listed in cell '{claimed[member]}' too; a box has one cell"
+            raise PlanError("cell", cell.name, "members", text)
+        claimed[member] = cell.name
+    if cell.fallback is None:
+        return
+    _known(plan, "cell", cell.name, "fallback", (cell.fallback,))
+    if cell.fallback == cell.name:
+        raise PlanError("cell", cell.name, "fallback", "a cell cannot fall back on itself")
+    if plan.cells[cell.fallback].fallback is not None:
+        text = f"cell '{cell.fallback}' falls back itself; chains could end in a circle"
+        raise PlanError("cell", cell.name, "fallback", text)
+
+
+def _check_tenant(plan: Plan, tenant: Tenant) -> None:
+    _known(plan, "tenant", tenant.name, "cells", tenant.cells)
+    if not tenant.cells and tenant.span > len(plan.cells):
+        text = f"{tenant.span} cells are wanted and there are {len(plan.cells)}"
+        raise PlanError("tenant", tenant.name, "span", text)
+    for n, one in enumerate(tenant.ranges):
+        _known(plan, "tenant", tenant.name, "ranges", one.cells)
+        if any(one.overlaps(other) for other in tenant.ranges[:n]):
+            text = f"{one.first:02x}-{one.last:02x} overlaps another range"
+            raise PlanError("tenant", tenant.name, "ranges", text)
+
+
+def _check_move(plan: Plan, move: MoveOrder, before: list[MoveOrder]) -> None:
+    if move.tenant not in plan.tenants:
+        raise PlanError("move", move.name, "tenant", f"there is no tenant '{move.tenant}'")
+    _known(plan, "move", move.name, "to", move.to)
+    if not move.to:
+        raise PlanError("move", move.name, "to", "names no cell")
+    for other in before:
+        if other.tenant == move.tenant and other.overlaps(move):
+            text = f"move '{other.name}' moves the same keys of tenant '{move.tenant}'"
+            raise PlanError("move", move.name, "tenant", text)
+
+
+def check(plan: Plan) -> Plan:
+    """The plan, if all in it fits together; PlanError tells what does not."""
+    bounds = (("cell", plan.cells, MOST_CELLS), ("tenant", plan.tenants, MOST_TENANTS))
+    for kind, rows, most in (*bounds, ("move", plan.moves, MOST_MOVES)):
+        if len(rows) > most:
+            raise PlanError(kind, "", "count", f"{len(rows)} are over the bound of {most}")
+    if not plan.cells:
+        raise PlanError("cell", "", "count", "a plan has one cell at least")
+    claimed: dict[str, str] = {}
+    for cell in plan.cells.values():
+        _check_cell(plan, cell, claimed)
+    for tenant in plan.tenants.values():
+        _check_tenant(plan, tenant)
+    before: list[MoveOrder] = []
+    for move in plan.moves.values():
+        _check_move(plan, move, before)
+        before.append(move)
+    default = plan.policy.default_tenant
+    if default is not None and default not in plan.tenants:
+        raise PlanError("cells", "", "default_tenant", f"there is no tenant '{default}'")
+    return plan
--- /dev/null
+++ b/onyxwick/cells/offline.py
@@ -0,0 +1,67 @@
+"""What a plan would do, from files alone: for operators before a change, and for measurements."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from onyxwick import interface as i
+from onyxwick.cells.model import Plan, PlanError
+from onyxwick.cells.placement import Placement, check_members, place
+
+
+def _plan(path: Path) -> Plan:
+    from onyxwick.config import ConfigError
+    from onyxwick.config.service import load
+
+    plan = load(path).plan
+    if plan is None:
+        raise ConfigError(f"{path.name}: names no cell")
+    return plan
+
+
+def _members(config: Path | None) -> tuple[list[i.Member], tuple[str | None, ...], str]:
+    if config is None:
+        return [], (None,), ""
+    from onyxwick.config import relay
+    from onyxwick.net.coordinator import read_members
+
+    told = relay.load({"RELAY_CONFIG": str(config)})
+    listed: dict[str, i.Member] = {}
+    for event in told.known.get("updates") or ():
+        if "endpoints" in event:
+            listed |= {m.address: m for m in read_members(event["endpoints"])[0].members}
+    kinds = (told.settings.parent_kind, told.settings.origin_kind)
+    return [m for m in listed.values() if m.state is not i.State.GONE], kinds, told.settings.zone
+
+
+def moved(before: Placement, after: Placement) -> dict[str, dict[str, list[str]]]:
+    """Tenants that have other cells in the one than in the other."""
+    out = {}
+    for tenant, cells in after.home_of.items():
+        old = before.home_of.get(tenant)
+        if old is not None and set(old) != set(cells):
+            out[tenant] = {"from": list(old), "to": list(cells)}
+    return out
+
+
+def planned(file: Path, config: Path | None, against: Path | None) -> dict[str, Any]:
+    """Cells with their boxes and tenants, what would move against an earlier file, and findings."""
+    members, kinds, zone = _members(config)
+    placement = place(_plan(file), members, kinds)
+    findings = []
+    if config is not None:
+        try:
+            check_members(placement, members, zone)
+        except PlanError as error:
+            findings.append(str(error))
+    before = place(_plan(against), members, kinds) if against else placement
+    homes = placement.home_of.values()
+    return {
+        "cells": {
+            cell: {"members": placement.members(cell), "tenants": sum(cell in home for home in homes)}
+            for cell in placement.plan.cells
+        },
+        "moved": moved(before, placement),
+        "findings": findings,
+    }
--- /dev/null
+++ b/onyxwick/cells/shown.py
@@ -0,0 +1,56 @@
+"""What operators are shown of the cells, and the reasons for where an object goes."""
+
+from __future__ import annotations
+
+from onyxwick.cells.fleet import Cells
+from onyxwick.cells.moves import Phase
+from onyxwick.cells.placement import word
+from onyxwick.cells.unit import Unit
+
+
+def explain(cells: Cells, tenant: str, name: str) -> list[str]:
+    """Why an object of a tenant goes where it goes at this instant. KeyError for an unknown tenant."""
+    out = cells.roster.placement.explain(tenant, name)
+    key = word(name)
+    for move in cells.of_tenant.get(tenant, ()):
+        if move.covers(key) and move.phase is not Phase.ABORTED:
+            side = "already goes" if move.takes(key) else "does not go yet"
+            out.append(
+                f"Move '{move.order.name}' is {move.phase.value} with {move.share:.0%} over"
+                f" ({move.why}): the object {side} to {', '.join(move.order.to)}."
+            )
+    order = cells.targets(tenant, name)
+    alive = next((cell for cell in order if cells.alive(cell)), None)
+    if alive is not None:
+        return [*out, f"It is served by cell '{alive}'."]
+    fallback = cells.plan.cells[order[0]].fallback
+    then = f"'{fallback}' takes it within its spare room" if fallback else "it is refused at once"
+    return [*out, f"No box of {', '.join(order)} is ready: {then}."]
+
+
+def show(cells: Cells) -> dict[str, object]:
+    """All of the state that an operator can act on."""
+    writes = cells.admission.writes
+    return {
+        "version": cells.plan.version,
+        "cells": {name: _unit(cells, unit) for name, unit in sorted(cells.units.items())},
+        "tenants": len(cells.plan.tenants),
+        "moves": {name: move.shown() for name, move in sorted(cells.moves.items())},
+        "writes": {"open": writes.open, "limit": round(writes.adaptive.limit, 1)},
+        "counts": dict(sorted(cells.counts.items())),
+    }
+
+
+def _unit(cells: Cells, unit: Unit) -> dict[str, object]:
+    placement = cells.roster.placement
+    return {
+        "members": placement.members(unit.name),
+        "ready": unit.ready,
+        "tenants": sum(unit.name in homes for homes in placement.home_of.values()),
+        "open": unit.open,
+        "limit": round(unit.gate.adaptive.limit, 1),
+        "most": round(unit.gate.adaptive.most, 1),
+        "pressure": round(unit.pressure, 3),
+        "parents_part": round(cells.arbiter.parts.get(unit.name, 0.0), 4),
+        "leaving": unit.leaving,
+    }
--- a/onyxwick/cli/__init__.py
+++ b/onyxwick/cli/__init__.py
@@ -10,6 +10,7 @@
 
 COMMANDS = {  # name: (module with a click command of that name, what it is for)
     "run": ("onyxwick.cli.run", "Run one director in the foreground."),
+    "cells": ("onyxwick.cli.cells", "What the cells do, what a plan would do, and moves."),
     "config": ("onyxwick.cli.config", "Check configuration files."),
 }
 
--- /dev/null
+++ b/onyxwick/cli/cells.py
@@ -0,0 +1,163 @@
+"""`onyxwick cells`: what the cells do, what a plan would do, and moves."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import click
+
+from onyxwick.cli import Unusable
+from onyxwick.config.address import read_address
+
+TIMEOUT_S = 10.0
+json_option = click.option("--json", "as_json", is_flag=True, help="JSON on standard output.")
+
+
+class Remote:
+    """The administration API of one director."""
+
+    def __init__(self, address: str, token_file: Path) -> None:
+        try:
+            self.address, self.token = read_address(address), token_file.read_text().strip()
+        except (ValueError, OSError) as error:
+            raise Unusable(str(error)) from None
+
+    def call(
+        self, method: str, path: str, data: object = None, made_for: int | None = None
+    ) -> dict[str, Any]:
+        head = {"Authorization": f"Bearer {self.token}"}
+        if made_for is not None:
+            head["If-Match"] = str(made_for)
+        connection = http.client.HTTPConnection(*self.address, timeout=TIMEOUT_S)
+        try:
+            connection.request(method, path, json.dumps(data) if data is not None else None, head)
+            answer = connection.getresponse()
+            told = json.loads(answer.read() or b"{}")
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise Unusable(f"administration API at {self.address[0]}:{self.address[1]}: {error}") from None
+        finally:
+            connection.close()
+        if answer.status >= 400:
+            raise Unusable(f"{answer.status}: {told.get('error', '')}")
+        assert isinstance(told, dict)
+        return told
+
+
+@click.group()
+@click.option("--admin", default="127.0.0.1:8053", show_default=True, help="The administration API.")
+@click.option("--token-file", type=click.Path(path_type=Path), help="A file with the operator's token.")
+@click.pass_context
+def cells(ctx: click.Context, admin: str, token_file: Path | None) -> None:
+    """What the cells do, what a plan would do, and moves."""
+    ctx.obj = (admin, token_file)
+
+
+def _remote(ctx: click.Context) -> Remote:
+    admin, token_file = ctx.obj
+    if token_file is None:
+        raise Unusable("--token-file is wanted before the command, as: onyxwick cells --token-file FILE show")
+    return Remote(admin, token_file)
+
+
+def _print_state(told: dict[str, Any]) -> None:
+    click.echo(f"version {told['version']}, {told['tenants']} tenants")
+    for name, row in told["cells"].items():
+        full = f"{row['open']} of {row['limit']:g} (at most {row['most']:g})"
+        click.echo(
+            f"cell {name}: {row['ready']} of {len(row['members'])} boxes ready, {row['tenants']} tenants,"
+            f" open {full}, pressure {row['pressure']:.0%}, {row['parents_part']:.0%} of the parents"
+            + (", leaving" if row["leaving"] else "")
+        )
+    for name, row in told["moves"].items():
+        where = f"{row['tenant']} to {', '.join(row['to'])}"
+        click.echo(f"move {name}: {where}: {row['phase']}, {row['share']:.0%} over: {row['why']}")
+    for name, count in told["counts"].items():
+        click.echo(f"{name} {count}")
+
+
+@cells.command()
+@json_option
+@click.pass_context
+def show(ctx: click.Context, as_json: bool) -> None:
+    """The cells of a running director."""
+    told = _remote(ctx).call("GET", "/cells")
+    click.echo(json.dumps(told)) if as_json else _print_state(told)
+
+
+@cells.command()
+@click.argument("tenant")
+@click.argument("object_name", metavar="OBJECT")
+@json_option
+@click.pass_context
+def explain(ctx: click.Context, tenant: str, object_name: str, as_json: bool) -> None:
+    """Why an object of a tenant goes where it goes."""
+    told = _remote(ctx).call("GET", f"/cells/explain/{quote(tenant, '')}/{quote(object_name, '')}")
+    click.echo(json.dumps(told) if as_json else "\n".join(told["because"]))
+
+
+@cells.command()
+@click.argument("name")
+@click.argument("tenant")
+@click.argument("to", nargs=-1, required=True)
+@click.option("--keys", default="00-ff", show_default=True, help="First bytes of the objects' hashes.")
+@click.option("--warm", default="20s", show_default=True, help="Time in which the share grows to all.")
+@click.option("--bake", default="5s", show_default=True, help="Time after the cut.")
+@click.option("--for-version", type=int, help="Only if this version of the plan runs.")
+@json_option
+@click.pass_context
+def move(
+    ctx: click.Context,
+    name: str,
+    tenant: str,
+    to: tuple[str, ...],
+    keys: str,
+    warm: str,
+    bake: str,
+    for_version: int | None,
+    as_json: bool,
+) -> None:
+    """Move TENANT to the cells TO. The same call again changes nothing."""
+    row = {"tenant": tenant, "to": list(to), "keys": keys, "warm": warm, "bake": bake}
+    told = _remote(ctx).call("PUT", f"/cells/plan/moves/{quote(name, '')}", row, for_version)
+    done = "ordered" if told["changed"] else "was ordered already"
+    click.echo(json.dumps(told) if as_json else f"move {name} {done}; version {told['version']} runs")
+
+
+@cells.command()
+@click.argument("name")
+@json_option
+@click.pass_context
+def abort(ctx: click.Context, name: str, as_json: bool) -> None:
+    """Turn the move NAME back; exit 1 where it has ended."""
+    told = _remote(ctx).call("POST", f"/cells/moves/{quote(name, '')}/abort")
+    row = told["move"]
+    click.echo(json.dumps(told) if as_json else f"move {name}: {row['phase']}: {row['why']}")
+    if not told["changed"]:
+        raise click.exceptions.Exit(1)
+
+
+@cells.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--list", "config", type=click.Path(path_type=Path), help="A director's JSON with its list.")
+@click.option("--against", type=click.Path(path_type=Path), help="An earlier file: what would move.")
+@json_option
+def plan(file: Path, config: Path | None, against: Path | None, as_json: bool) -> None:
+    """What the plan in FILE would do, without a running director; exit 1 where a cell has no box."""
+    from onyxwick.cells.offline import planned
+
+    told = planned(file, config, against)
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        for name, row in told["cells"].items():
+            click.echo(f"cell {name}: {len(row['members'])} boxes, {row['tenants']} tenants")
+        for name, row in told["moved"].items():
+            click.echo(f"tenant {name}: {', '.join(row['from'])} to {', '.join(row['to'])}")
+        for text in told["findings"]:
+            click.echo(f"finding: {text}")
+    if told["findings"]:
+        raise click.exceptions.Exit(1)
--- a/onyxwick/config/service.py
+++ b/onyxwick/config/service.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from onyxwick.config import hcl
 from onyxwick.config.address import Address
@@ -11,7 +13,12 @@
 from onyxwick.config.fields import Fields
 from onyxwick.tenants import QUOTA_PER_S, Tenant, TenantError, Tenants, read_key, read_quota, read_zone_file
 
+if TYPE_CHECKING:
+    from onyxwick.cells import Plan
+    from onyxwick.cells import Tenant as CellTenant
+
 DEADLINE_US = 1_000_000
+CELL_BLOCKS = ("cells", "cell", "move")
 TOKEN_LEAST = 16
 
 
@@ -24,6 +31,7 @@
     deadline_us: int = DEADLINE_US
     admin: Address | None = None
     token: str = ""
+    plan: Plan | None = None  # of cells; None: one router for all
 
 
 def _tenant(row: Fields, folder: Path, tenants: Tenants) -> None:
@@ -55,6 +63,7 @@
 
 def read(top: Fields, folder: Path) -> ServiceConfig:
     out = ServiceConfig(Tenants())
+    tenant_of_plan: Callable[[Fields], CellTenant] | None = None
     if dns := top.block_of("dns"):
         out.dns = dns.address("listen")
         out.deadline_us = dns.duration("deadline", 10_000, 60_000_000, DEADLINE_US)
@@ -63,7 +72,13 @@
         out.admin = admin.address("listen", loopback=True)
         out.token = _token(admin, folder)
         admin.done()
+    if any(block.type in CELL_BLOCKS for block in top.block.blocks):
+        from onyxwick.config.cells import read_plan, tenant
+
+        out.plan, tenant_of_plan = read_plan(top), tenant
     for row in top.blocks("tenant", labels=1):
+        if tenant_of_plan is not None:
+            tenant_of_plan(row)  # read above; asked again so that its fields count as known
         try:
             _tenant(row, folder, out.tenants)
         except TenantError as error:
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -77,7 +77,10 @@
 
 
 class Core:
-    """Owns the module of one director: the only place that hands it events and takes its actions."""
+    """Owns the module of one director: the only place that hands it events and takes its actions.
+
+    `decide` makes what decides, from the settings, a seed and the time: one router, or the cells' many.
+    """
 
     def __init__(
         self,
@@ -88,6 +91,7 @@
         counters: Counters,
         clock: Callable[[], int] = unix_us,
         most_open: int = MAX_OPEN,
+        decide: Callable[[i.Settings, int, int], i.Decider] = Router,
     ) -> None:
         self.settings, self.transport, self.members, self.counters = settings, transport, members, counters
         self.clock, self.most_open = clock, most_open
@@ -97,7 +101,7 @@
         self.idle.set()
         self.writes = {c.name for c in settings.classes if c.write}
         self.once = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
-        self.router = Router(settings, seed, self.now())
+        self.router = decide(settings, seed, self.now())
         self.tell()
 
     def now(self) -> int:
@@ -183,6 +187,7 @@
                 self.counters.add("error.request")
                 log.exception("error in a request", request=request.id)
                 answer = Answer(Verdict.FAILED)
+                self._forget(request.id)
             if answer is not None and not life.gone:
                 self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
                 reply(answer)
@@ -192,6 +197,14 @@
             if not self.lives:
                 self.idle.set()
 
+    def _forget(self, request: str) -> None:
+        """The module has seen the request arrive and would wait for its end."""
+        try:
+            self.tell(i.ClientLeft(request))
+        except Exception:
+            self.counters.add("error.request")
+            log.exception("error in forgetting a request", request=request)
+
     def leave(self, life: Life) -> None:
         if not life.gone:
             life.gone = True
--- a/onyxwick/interface.py
+++ b/onyxwick/interface.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, IntFlag
+from typing import Protocol
 
 
 class Repeat(Enum):
@@ -249,8 +250,17 @@
     report: tuple[float, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class PartChanged:
+    """This router's part (over 0, at most 1) of what its director may ask of the parents, where several
+    routers of one director share them."""
+
+    part: float
+
+
 Event = (
     MembersChanged
+    | PartChanged
     | RequestArrived
     | AttemptEnded
     | StreamStarted
@@ -324,3 +334,9 @@
 
 
 Action = Attempt | Fetch | Cancel | Fail | Refuse | SetTimer | Log | Subscribe | AskList
+
+
+class Decider(Protocol):
+    """What decides for one director: the events of one instant in, the actions on them out."""
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]: ...
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -9,11 +9,13 @@
 import socket
 import sys
 from enum import Enum
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import uvloop
 
+from onyxwick import interface as i
 from onyxwick import logs
 from onyxwick.config import ConfigError, relay
 from onyxwick.config.address import written
@@ -21,12 +23,16 @@
 from onyxwick.core import Core
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
+from onyxwick.logic import Router
 from onyxwick.net import front
 from onyxwick.net.caches import Caches
 from onyxwick.net.coordinator import Coordinator
 
 if TYPE_CHECKING:
+    from onyxwick.admin.cells import CellsApi
     from onyxwick.admin.http import HttpServer
+    from onyxwick.cells import Cells, Plan
+    from onyxwick.cells.holding import Holding
     from onyxwick.config.service import ServiceConfig
     from onyxwick.dns.server import DnsFront
 
@@ -58,6 +64,8 @@
             config.settings.report_names,
             most_links=config.most_links,
         )
+        self.cells: Cells | None = None
+        plan = service.plan if service else None
         self.core = Core(
             config.settings,
             config.seed,
@@ -65,12 +73,33 @@
             self.members,
             self.counters,
             most_open=config.most_open,
+            decide=Router if plan is None else partial(self._with_cells, plan),
         )
         self.coordinator = Coordinator(self.core, self.counters)
         self.front = front.Front(
-            self.core, self.counters, self.is_ready, config.most_clients, config.most_held
+            self.core,
+            self.counters,
+            self.is_ready,
+            config.most_clients,
+            config.most_held,
+            *self._parts(),
         )
 
+    def _with_cells(self, plan: Plan, settings: i.Settings, seed: int, now: int) -> Cells:
+        from onyxwick.cells import Cells
+
+        self.cells = Cells(settings, seed, now, plan, self.config.most_open)
+        return self.cells
+
+    def _parts(self) -> tuple[Holding | None, str]:
+        """What the front must know of cells: each one's part of its places, and who asks."""
+        if self.cells is None:
+            return None, ""
+        from onyxwick.cells.holding import Holding
+
+        most = (self.config.most_held, self.config.most_clients)
+        return Holding(self.cells, *most), self.cells.plan.policy.tenant_field
+
     def is_ready(self) -> bool:
         return self.state is State.SERVING and self.members.loaded
 
@@ -88,10 +117,11 @@
     def reload(self) -> None:
         """Read the configuration again, whole; one that cannot be used changes nothing.
 
-        Only the coordinator can move under way. Requests and attempts are not touched.
+        Only the coordinator and the plan of cells can change under way. Requests and attempts go on.
         """
         try:
-            told = relay.load()
+            told, service = relay.load(), read_service() if self.service else None
+            self._reload_plan(service.plan if service else None)
         except ConfigError as error:
             self.counters.add("reload.bad")
             log.error("configuration kept as it was", error=str(error))
@@ -100,6 +130,21 @@
         log.info("configuration read again", coordinator=written(told.coordinator))
         self.coordinator.move(told.coordinator)
 
+    def _reload_plan(self, plan: Plan | None) -> None:
+        """The file's plan, over whatever the administration API has made of it since."""
+        if self.cells is None or plan is None:
+            if (self.cells is None) is not (plan is None):
+                log.warning("cells are switched on and off at a restart only")
+            return
+        from onyxwick.cells import Control, PlanError
+
+        try:
+            changed = Control(self.cells, self.core.now, self.core.tell).change(plan)
+        except PlanError as error:
+            raise ConfigError(str(error)) from None
+        if changed:
+            log.info("plan of cells changed", version=self.cells.plan.version)
+
     def print_counters(self) -> None:
         print(self.counters.text(), flush=True)
 
@@ -146,10 +191,18 @@
         if self.service.dns:
             out.append(DnsFront(self.core, self.counters, self.service))
         if self.service.admin:
-            api = Api(self.service.tenants, self.counters, self.service.token, self.health)
+            api = Api(self.service.tenants, self.counters, self.service.token, self.health, self._cells_api())
             out.append(HttpServer(self.service.admin, api, self.counters))
         return out
 
+    def _cells_api(self) -> CellsApi | None:
+        if self.cells is None:
+            return None
+        from onyxwick.admin.cells import CellsApi
+        from onyxwick.cells import Control
+
+        return CellsApi(Control(self.cells, self.core.now, self.core.tell))
+
     def health(self) -> dict[str, object]:
         listed = self.members.listed
         ready = sum(self.members.ready(member) for member in listed)
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -168,6 +168,7 @@
         self.burst = max(4.0, RETRY_BURST / settings.routers)
         self.retries = self.burst
         self.turn = 0
+        self.part = 1.0  # of this director's share of the parents, which other routers of it may share
         self.unsubscribed = False
         self._at(now + int(STEP_US * self.random.random()), "", 0)  # routers do not step together
         if settings.subscribe:
@@ -189,6 +190,8 @@
                         self._close(job)
                 case i.MembersChanged():
                     self._listed(event)
+                case i.PartChanged(part):
+                    self.part = part
                 case i.Purged(group, name, age):
                     key = (group, None) if name is None else (None, name)
                     self.marks[key] = max(now - age, self.marks.get(key, 0))
@@ -328,13 +331,19 @@
             else self.link / DRAWN / self.boxes
         )
 
-    def _tier(self, peer: Peer) -> tuple[float, int, float, int]:
+    def _tier(self, peer: Peer) -> tuple[float, int, float, float]:
         """Cold start, its rise, the overload multiple and the routers that share a member of this tier."""
         r = self.set.rules
         if peer.info.kind == self.set.parent_kind:
-            return r.parent_cold_start, r.parent_cold_us, r.parent_overload_multiple, self.set.routers
+            return r.parent_cold_start, r.parent_cold_us, r.parent_overload_multiple, self._sharers(peer)
         return r.cold_start, r.cold_us, r.overload_multiple, self.set.routers_in_zone
 
+    def _sharers(self, peer: Peer) -> float:
+        """Over how many routers what a member takes is divided, as seen by this one."""
+        if peer.info.kind == self.set.parent_kind:
+            return self.set.routers / self.part
+        return self.set.routers_in_zone if peer in self.caches else self.set.routers
+
     def _cold(self, peer: Peer) -> float:
         """Share of its full link that a member can surely give now."""
         start, rise, _, _ = self._tier(peer)
@@ -388,7 +397,7 @@
         """
         work = self.work[kind.name].mean
         stretch = (kind.aim_us + kind.aim_stretch * work) / work
-        routers = self.set.routers_in_zone if peer in self.caches else self.set.routers
+        routers = self._sharers(peer)
         limit = LOAD_SHARE * stretch * self._size(peer) * self._cold(peer) / routers
         if peer is self.origin:
             if kind.write:
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 from onyxwick import interface as i
 from onyxwick import logs
@@ -18,12 +19,16 @@
 from onyxwick.net.buffer import unread
 from onyxwick.net.outbox import Outbox, Parcel, Tally
 
+if TYPE_CHECKING:
+    from onyxwick.cells.holding import Holding
+
 log = logs.get()
 STALLED_S = 10.0  # a client that takes nothing for so long is cut off
 HALF_S = 2.0  # a connection that has sent nothing, or half a request, for so long is ended
 IDLE_S = (
     4.8  # the platform's clients close what is idle for 4 s; who holds on longer takes a place for nothing
 )
+UNREAD_WAIT_US = 500_000  # what is not read is cut off in seconds: no use in coming back before
 FAULTS = 16  # bad input on one connection after which it is ended
 FAULT_PAUSE_S = 0.02  # after bad input, times the faults so far: it comes again as fast as it is answered
 LINGER_S = (
@@ -53,6 +58,7 @@
 _HEX16 = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
 _PLAIN = re.compile(rb"[!-+.-<>-~-]{0,128}").fullmatch  # what may stand in a field of the caches' protocol
 MOST_PARTS = 65_535  # of one object
+MOST_TENANT = 64  # bytes of a tenant's name
 Params = dict[bytes, bytes]
 
 
@@ -70,7 +76,9 @@
     return int(text)
 
 
-def read_request(params: Params, body: bytes, now: int, classes: dict[str, i.RequestClass]) -> Request:
+def read_request(
+    params: Params, body: bytes, now: int, classes: dict[str, i.RequestClass], tenant_field: bytes = b""
+) -> Request:
     """The core request that a call asks for; ValueError names the field that cannot be used."""
     class_name = params[b"SCRIPT_NAME"].removeprefix(b"/call/").decode("latin-1")
     kind = classes.get(class_name)
@@ -92,9 +100,18 @@
         repeat=again == b"1",
         body=body,
         held_tag=held.decode("latin-1"),
+        tenant=_tenant(params, tenant_field),
     )
 
 
+def _tenant(params: Params, name: bytes) -> str | None:
+    """Who asks, where the installation has cells; None: the request does not say."""
+    text = params.get(name, b"") if name else b""
+    if len(text) > MOST_TENANT or not text.isascii():
+        raise ValueError("bad tenant")
+    return text.decode() or None
+
+
 def answer_bytes(number: int, answer: Answer) -> bytes:
     headers = {"Content-Type": "application/octet-stream"}
     if answer.tag:
@@ -114,6 +131,7 @@
         self.parser = fastcgi.Parser()
         self.outbox = Outbox(sock, front.tally)
         self.open: dict[int, Life | None] = {}  # by FastCGI number
+        self.cell: str | None = None  # whose part of the places it takes, where there are cells
         self.ending = False  # to be closed when all that is open on it is answered
         self.calls = self.faults = 0
         self.born = self.used_at = self.half_since = time.monotonic()
@@ -133,6 +151,8 @@
             await asyncio.gather(writer, reader, return_exceptions=True)
             self.sock.close()
             self.outbox.close()
+            if self.cell is not None and self.front.holding is not None:
+                self.front.holding.disconnect(self.cell)
             self._leave_all()
 
     def _leave_all(self) -> None:
@@ -214,7 +234,9 @@
     def _send(self, number: int, data: bytes) -> None:
         self.parser.open.discard(number)
         self.used_at = time.monotonic()
-        self.outbox.post(Parcel(data))
+        holding = self.front.holding
+        release = holding.hold(self.cell, len(data)) if holding is not None and self.cell else None
+        self.outbox.post(Parcel(data, release=release))
         if self.answered is not None and not self.answered.done():
             self.answered.set_result(None)
 
@@ -230,18 +252,39 @@
             self._fault(f"path {name[:64]!r}")
             return self._send(call.number, fastcgi.answer(call.number, "404 Not Found", {}, b""))
         try:
-            request = read_request(call.params, call.body, self.front.core.now(), self.front.classes)
+            front = self.front
+            now = front.core.now()
+            request = read_request(call.params, call.body, now, front.classes, front.tenant_field)
         except ValueError as error:
             self._fault(str(error))
             return self._send(call.number, fastcgi.answer(call.number, "400 Bad Request", {}, b""))
         if self.front.tally.held > self.front.most_held:
             self.front.counters.add("answer.overloaded")
             return self._send(call.number, fastcgi.end_request(call.number, fastcgi.Protocol.OVERLOADED))
+        if self.front.holding is not None and not self._placed(self.front.holding, request.tenant):
+            self.front.counters.add("answer.cell_full")
+            answer = Answer(Verdict.REFUSED, retry_after_us=self.front.retry_us)
+            return self._send(call.number, answer_bytes(call.number, answer))
         self.open[call.number] = None
         life = self.front.core.start(request, partial(self._answer, call.number))
         if life is not None:
             self.open[call.number] = life
 
+    def _placed(self, holding: Holding, tenant: str | None) -> bool:
+        """Is there room in its cell's part for this connection and for one more unread answer?
+
+        A connection counts for the tenant that asked on it first.
+        """
+        cell = holding.cell_of(tenant)
+        if cell is None:
+            return True
+        if self.cell is None:
+            if not holding.connect(cell):
+                self.ending = True
+                return False
+            self.cell = cell
+        return not holding.full(self.cell)
+
     def _answer(self, number: int, answer: Answer) -> None:
         del self.open[number]
         self._send(number, answer_bytes(number, answer))
@@ -277,7 +320,13 @@
         ready: Callable[[], bool],
         most_clients: int,
         most_held: int,
+        holding: Holding | None = None,
+        tenant_field: str = "",
     ) -> None:
+        self.holding = holding
+        self.tenant_field = f"HTTP_{tenant_field.upper().replace('-', '_')}".encode() if tenant_field else b""
+        limits = core.settings.limits
+        self.retry_us = min(limits.max_retry_after_us, UNREAD_WAIT_US) if limits.retry_after else 0
         self.core, self.counters, self.ready = core, counters, ready
         self.most_clients, self.most_held = most_clients, most_held
         self.classes = {c.name: c for c in core.settings.classes}
--- a/onyxwick/net/outbox.py
+++ b/onyxwick/net/outbox.py
@@ -20,18 +20,26 @@
 class Parcel:
     """Bytes to be written as one. `check` is asked right before the first of them."""
 
-    __slots__ = ("check", "data", "dropped", "progress")
+    __slots__ = ("check", "data", "dropped", "progress", "release")
 
     def __init__(
         self,
         data: bytes,
         check: Callable[[], bool] | None = None,
         dropped: Callable[[], None] | None = None,
+        release: Callable[[], None] | None = None,
     ) -> None:
         self.data, self.check, self.dropped = data, check, dropped
+        self.release = release  # called once, when its bytes are held no more
         self.progress = Progress.WAITING
 
 
+def _release(parcel: Parcel) -> None:
+    if parcel.release is not None:
+        release, parcel.release = parcel.release, None
+        release()
+
+
 class Tally:
     """Bytes waiting to be written, over all connections that share it."""
 
@@ -56,6 +64,7 @@
         self.pending = 0  # bytes posted and not yet written
         self.writing_since = 0.0  # when the write under way began, or 0
         self.more: asyncio.Future[None] | None = None
+        self.batch: list[Parcel] = []  # under way
         self.drained = asyncio.Event()
         self.drained.set()
 
@@ -86,7 +95,7 @@
             if not self.queue:
                 self.more = loop.create_future()
                 await self.more
-            batch = self._batch()
+            batch = self.batch = self._batch()
             data = batch[0].data if len(batch) == 1 else b"".join([parcel.data for parcel in batch])
             for at in range(0, len(data), self.SLICE):
                 self.writing_since = time.monotonic()
@@ -94,6 +103,7 @@
             self.writing_since = 0.0
             for parcel in batch:
                 self._finish(parcel, Progress.WRITTEN)
+            self.batch = []
 
     def _batch(self) -> list[Parcel]:
         """The parcels that go out now, each one checked at this moment."""
@@ -115,6 +125,7 @@
         self.pending -= len(parcel.data)
         self.tally.held -= len(parcel.data)
         parcel.data = b""
+        _release(parcel)
         if not self.queue and not self.pending:
             self.drained.set()
 
@@ -122,5 +133,7 @@
         """Nothing more will be written; what waited holds no memory of the tally."""
         self.tally.held -= self.pending
         self.pending = 0
+        for parcel in (*self.batch, *self.queue):
+            _release(parcel)
         self.queue.clear()
         self.drained.set()
--- a/onyxwick/tenants.py
+++ b/onyxwick/tenants.py
@@ -6,8 +6,6 @@
 import binascii
 import hmac
 import re
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -16,10 +14,16 @@
 import dns.versioned
 import dns.zone
 
+from onyxwick.quota import Quota
+
 QUOTA_PER_S = 500.0  # queries, where a tenant is given no quota
 ADMIN_PER_S = 20.0  # administration requests of one tenant
-MOST_TENANTS, MOST_ZONES, MOST_KEYS, MOST_TEXT = 256, 32, 16, 262_144  # bounds on memory, the last in bytes
-BURST_S = 1.0  # of its quota that a tenant can save up
+MOST_TENANTS, MOST_ZONES, MOST_KEYS, MOST_TEXT = (
+    16_384,
+    32,
+    16,
+    262_144,
+)  # bounds on memory, the last in bytes
 
 
 class TenantError(ValueError):
@@ -30,23 +34,6 @@
     """What was to be made is there already."""
 
 
-class Quota:
-    """So many queries a second, counted for one tenant alone: none can starve another."""
-
-    def __init__(self, per_s: float, clock: Callable[[], float] = time.monotonic) -> None:
-        self.per_s, self.clock = per_s, clock
-        self.saved, self.at = per_s * BURST_S, clock()
-
-    def take(self) -> bool:
-        now = self.clock()
-        self.saved = min(max(1.0, self.per_s * BURST_S), self.saved + (now - self.at) * self.per_s)
-        self.at = now
-        if self.saved < 1:
-            return False
-        self.saved -= 1
-        return True
-
-
 @dataclass(slots=True, eq=False)
 class Zone:
     """One zone with its static names; what lies under `routed` is answered by the core."""
--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,323 @@
+"""Cells under failure: each hard case of containment and of moves, against the real module."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from onyxwick import interface as i
+from onyxwick.cells import Cell, Conflict, Control, Plan, PlanError, Tenant
+from onyxwick.cells.fleet import Cells
+from onyxwick.cells.model import MoveOrder, Policy
+from onyxwick.cells.moves import LEGAL, IllegalMove, Move, Phase, Signs
+from onyxwick.cells.shown import explain, show
+from tests.cells import BOXES, SET, CellWorld, plan_of, refusals
+from tests.world import ORIGIN, PARENTS, S, sent
+
+WELL = Signs(seats=4, ready=4, warmth=1.0, pressure=0.0, old_ready=4, open_old=0, open_new=0)
+MOVE = MoveOrder("m", "t1", ("b",), warm_us=2 * S, bake_us=S)
+
+
+def _settle(w: CellWorld, seconds: float) -> None:
+    w.pass_time(int(seconds * S))
+
+
+def test_each_tenant_stays_in_its_cell() -> None:
+    w = CellWorld()
+    for tenant, cell in (("t1", "a"), ("t2", "b")) * 40:
+        request = w.ask(tenant)
+        (attempt,) = sent(w.last)
+        assert attempt.member in w.cells.roster.placement.members(cell)
+        w.end(request)
+    assert not w.cells.requests and not w.cells.admission.open_of and w.cells.admission.writes.open == 0
+
+
+def test_health_and_budgets_do_not_leak() -> None:
+    """All boxes of one cell fail and its retries run out: the other cell's router has seen nothing."""
+    w = CellWorld()
+    for _ in range(60):
+        request = w.ask("t1")
+        while (out := [key for key in w.open if key[0] == request]) and request in w.cells.requests:
+            w.end(request, i.Status.CONNECT_FAILED, out[0][1])
+    a, b = (w.cells.units[n].router for n in "ab")
+    assert a.retries < a.burst and any(p.ejected for p in a.peers.values())
+    assert b.retries == b.burst and not any(p.ejected or p.failing for p in b.peers.values())
+
+
+def test_a_purge_holds_in_every_cell_and_in_those_made_later() -> None:
+    w = CellWorld()
+    w.give(i.Purged(1, None, 10_000))
+    later = plan_of((Cell("a"), Cell("b"), Cell("c")))
+    w.cells.apply(w.now, later)
+    w.give()
+    w.now += S
+    marks = {name: unit.router.marks for name, unit in w.cells.units.items()}
+    assert set(marks) == {"a", "b", "c"} and len({tuple(m.items()) for m in marks.values()}) == 1
+    assert marks["c"][(1, None)] == w.now - S - 10_000
+
+
+def test_an_unknown_tenant_is_refused_and_a_default_one_taken() -> None:
+    w = CellWorld()
+    w.ask("nobody")
+    assert refusals(w.last) and w.cells.counts["unknown_tenant"] == 1
+    w = CellWorld(plan_of(policy=Policy(default_tenant="t2")))
+    assert w.where(w.ask(None)) == "b"
+
+
+def test_a_rate_is_kept_and_tells_when_to_return() -> None:
+    w = CellWorld(plan_of(tenants=(Tenant("t1", cells=("a",), rate_per_s=10), Tenant("t2", cells=("b",)))))
+    answers = []
+    for _ in range(30):
+        w.ask("t1")
+        answers += refusals(w.last)
+    assert len(answers) == 20 and all(0 < a.retry_after_us <= 500_000 for a in answers)
+    w.ask("t2")
+    assert not refusals(w.last)
+    w.now += S
+    w.ask("t1")
+    assert not refusals(w.last)
+
+
+@pytest.mark.parametrize("kind", ["chunk", "save"])
+def test_a_flood_in_one_cell_leaves_another_its_places(kind: str) -> None:
+    """Ten times its rate, never answered, with reads or with bookings only: the neighbour's come through."""
+    w = CellWorld()
+    for _ in range(1500):
+        w.ask("t1", kind)
+    assert len(w.cells.requests) < 400, "what is over the cell's bounds was refused"
+    for _ in range(20):
+        request = w.ask("t2", kind)
+        assert sent(w.last) and not refusals(w.last)
+        w.end(request)
+    assert w.cells.units["a"].open <= w.cells.admission.pool.most("a")
+
+
+def test_a_cell_without_boxes_refuses_at_once_or_falls_back_within_spare_room() -> None:
+    plan = plan_of((Cell("a"), Cell("b")))
+    for fallback in (None, "b"):
+        w = CellWorld(replace(plan, cells={"a": Cell("a", fallback=fallback), "b": Cell("b")}))
+        for box in BOXES:
+            if w.cells.roster.placement.seat_of[box.address] == "a":
+                w.change(box, i.State.GONE)
+        w.ask("t1")
+        answer = next(iter(refusals(w.last)), None)
+        assert (answer is not None) == (fallback is None)
+        assert "No box of a" in explain(w.cells, "t1", "o")[-1]
+        if answer is not None:
+            assert answer.retry_after_us > 0
+            continue
+        w.cells.units["b"].gate.adaptive.limit = 20.0
+        taken = sum(not refusals((w.ask("t1"), w.last)[1]) for _ in range(300))
+        gate = w.cells.units["b"].gate
+        assert 0 < taken <= 0.5 * gate.adaptive.limit + 1
+        assert w.cells.counts["shed.no_spare.t1"] > 0
+        w.ask("t2")
+        assert not refusals(w.last), "the cell's own tenants have the rest"
+
+
+def test_dead_boxes_keep_their_seats_for_a_while() -> None:
+    """A cell whose boxes die is not given its neighbour's at once: what killed them would go on."""
+    w = CellWorld(plan_of(policy=Policy(seat_us=5 * S)))
+    own = w.cells.roster.placement.members("b")
+    for box in BOXES:
+        if box.address not in own:
+            w.change(box, i.State.GONE)
+    assert w.cells.roster.placement.members("b") == own
+    _settle(w, 6)
+    assert len(w.cells.roster.placement.members("b")) < len(own)
+
+
+# ---- moves ----------------------------------------------------------------------------------------------
+
+
+def test_a_move_warms_cuts_over_and_ends_in_flight_bookings_where_they_began() -> None:
+    w = CellWorld(plan_of(moves=(MOVE,)))
+    booking = w.ask("t1", "save")
+    assert w.where(booking) == "a"
+    seen, shares = [], []
+    for _ in range(60):
+        _settle(w, 0.1)
+        seen.append(w.cells.moves["m"].phase)
+        shares.append(w.cells.moves["m"].share)
+        request = w.ask("t1")
+        w.end(request)
+    assert [p for n, p in enumerate(seen) if not n or seen[n - 1] is not p] == [
+        Phase.WARMING,
+        Phase.CUTTING,
+        Phase.DRAINING,
+    ]
+    assert shares == sorted(shares), "the share only grows while all is well"
+    assert w.where(booking) == "a", "the booking under way is the old cell's"
+    assert w.where(w.ask("t1", "save")) == "b", "a new one is the new cell's"
+    w.end(booking, i.Status.RESET)  # its answer is lost during the cut
+    assert w.flown[booking] == 1, "it may have run, so nobody sends it again"
+    w.pass_time(200_000)
+    assert w.cells.moves["m"].phase is Phase.DONE
+    assert explain(w.cells, "t1", "x")[-1] == "It is served by cell 'b'."
+
+
+def test_an_object_never_goes_back_while_a_move_warms() -> None:
+    move = Move(MOVE, 0)
+    took: set[int] = set()
+    for n in range(1, 40):
+        move.step(n * 100_000, WELL)
+        now = {key for key in range(0, 2**64, 2**56 + 12345) if move.takes(key)}
+        assert took <= now
+        took = now
+    assert move.phase is Phase.DONE and len(took) == 256
+
+
+def test_a_move_into_cold_boxes_never_gives_them_more_than_they_can_bear() -> None:
+    since = 100 * S
+    plan = plan_of(
+        (Cell("a", tuple(f"b{n}" for n in range(4))), Cell("b", tuple(f"b{n}" for n in range(4, 8))))
+    )
+    boxes = tuple(replace(b, since_us=since if n >= 4 else 0) for n, b in enumerate(BOXES))
+    w = CellWorld(replace(plan, moves={"m": MOVE}), boxes=boxes)
+    for _ in range(150):
+        _settle(w, 0.1)
+        move = w.cells.moves["m"]
+        assert move.share <= w.cells.roster.warmth(("b",), w.now) + 1e-9 or move.phase is not Phase.WARMING
+        if move.phase is not Phase.WARMING:
+            assert w.now - since >= SET.rules.cold_us
+    assert move.share < 1 and move.phase is Phase.WARMING, "a box is warm only after 16 s"
+    _settle(w, 3)
+    assert move.phase in (Phase.CUTTING, Phase.DRAINING, Phase.DONE)
+
+
+def test_a_drain_or_a_death_in_the_target_pauses_a_move_and_a_loss_after_the_cut_turns_it_back() -> None:
+    w = CellWorld(plan_of(moves=(MOVE,)))
+    _settle(w, 1)
+    target = [b for b in BOXES if w.cells.roster.placement.seat_of[b.address] == "b"]
+    for box in target[:3]:
+        w.change(box, i.State.DRAINING)
+    _settle(w, 0.2)
+    move = w.cells.moves["m"]
+    assert move.phase is Phase.PAUSED and move.share < 0.2
+    for box in target[:3]:
+        w.change(box, i.State.READY)
+    while move.phase in (Phase.PAUSED, Phase.WARMING):
+        _settle(w, 0.1)
+    assert move.phase is Phase.CUTTING
+    for box in target:
+        w.change(box, i.State.GONE)
+    _settle(w, 0.3)
+    assert move.phase is Phase.ABORTED and w.where(w.ask("t1")) == "a"
+
+
+@pytest.mark.parametrize("phase", [p for p in Phase if p is not Phase.DONE])
+def test_a_move_can_be_taken_back_from_every_state_but_its_end(phase: Phase) -> None:
+    move = Move(MOVE, 0)
+    move.phase, move.share = phase, 0.7 * (phase not in (Phase.RETURNING, Phase.ABORTED))
+    assert move.abort(S, "taken back") is (phase is not Phase.ABORTED)
+    assert move.share == 0
+    move.step(2 * S, replace(WELL, open_new=3))
+    assert move.phase is Phase.RETURNING or phase in (Phase.PLANNED, Phase.ABORTED)
+    move.step(3 * S, WELL)
+    assert move.phase is Phase.ABORTED and not any(move.takes(k) for k in range(0, 2**64, 2**58))
+
+
+def test_only_legal_steps_are_possible() -> None:
+    for phase in Phase:
+        for to in Phase:
+            move = Move(MOVE, 0)
+            move.phase = phase
+            if to not in LEGAL[phase]:
+                with pytest.raises(IllegalMove):
+                    move._enter(to, 1, "")
+    assert not LEGAL[Phase.DONE] and not LEGAL[Phase.ABORTED]
+
+
+@pytest.mark.parametrize("step", range(0, 60, 4))
+def test_a_director_killed_at_any_step_of_a_move_comes_up_safe(step: int) -> None:
+    """It has no memory of the move: it serves from the old cell, and a purge told before binds both."""
+    w = CellWorld(plan_of(moves=(MOVE,)))
+    for _ in range(step):
+        _settle(w, 0.1)
+        w.end(w.ask("t1"))
+    again = Cells(SET, 8, w.now, w.cells.plan, 400)
+    again.handle(w.now, [i.MembersChanged(i.ListKind.FULL, (*BOXES, *PARENTS, ORIGIN)), i.Purged(1, None, 5)])
+    assert again.moves["m"].share == 0 and again.targets("t1", "x") == ("a",)
+    assert all(unit.router.marks for unit in again.units.values())
+    assert again.roster.placement.seat_of == w.cells.roster.placement.seat_of
+
+
+def test_two_moves_that_cross_and_a_tenant_deleted_while_it_moves() -> None:
+    cross = (MOVE, MoveOrder("n", "t2", ("a",), warm_us=2 * S, bake_us=S))
+    w = CellWorld(plan_of(moves=cross))
+    _settle(w, 1)
+    booking = w.ask("t1", "save")
+    old = w.where(booking)
+    w.cells.apply(w.now, plan_of(tenants=(Tenant("t2", cells=("b",)),), moves=(cross[1],)))
+    w.ask("t1")
+    assert refusals(w.last), "a deleted tenant's new requests are refused"
+    w.end(booking)
+    assert booking not in w.cells.requests and old in w.cells.units
+    _settle(w, 6)
+    assert w.where(w.ask("t2")) == "a" and "m" not in w.cells.moves
+
+
+def test_a_cell_taken_out_of_the_plan_ends_what_it_has() -> None:
+    w = CellWorld()
+    request = w.ask("t2")
+    w.cells.apply(w.now, plan_of((Cell("a"),), (Tenant("t1", cells=("a",)),)))
+    assert w.cells.units["b"].leaving and w.where(request) == "b"
+    w.end(request)
+    assert set(w.cells.units) == {"a"} and len(w.cells.units["a"].router.caches) in (4, 8)
+    w.give(i.TimerFired("b/due"))
+
+
+def test_changes_are_whole_or_nothing_and_by_version() -> None:
+    w = CellWorld()
+    flushed: list[int] = []
+    control = Control(w.cells, lambda: w.now, lambda: flushed.append(1))
+    running = control.plan
+    for wrong in (
+        plan_of((Cell("a", ("b0",)), Cell("b", ("b0",)))),  # a member in two cells
+        plan_of((Cell("a"), Cell("b", ("none-such",)))),  # a cell with no members
+        plan_of(tuple(Cell(f"c{n}") for n in range(9)), ()),  # more cells than boxes
+        plan_of(moves=(MoveOrder("m", "who", ("a",)),)),  # an unknown tenant
+    ):
+        with pytest.raises(PlanError):
+            control.change(wrong)
+        assert control.plan is running and set(w.cells.units) == {"a", "b"} and not flushed
+    new = plan_of((Cell("a"), Cell("b"), Cell("c")))
+    assert control.change(new, made_for=1) and control.plan.version == 2 and len(flushed) == 1
+    assert not control.change(new, made_for=1), "the same call again changes nothing and is no conflict"
+    with pytest.raises(Conflict):
+        control.change(plan_of(), made_for=1)
+    assert control.plan.version == 2 and show(w.cells)["version"] == 2
+
+
+def test_the_parts_of_the_parents_reach_the_routers() -> None:
+    w = CellWorld()
+    assert {unit.router.part for unit in w.cells.units.values()} == {0.5}
+    w.cells.apply(w.now, plan_of((Cell("a"), Cell("b"), Cell("c"))))
+    for _ in range(80):
+        _settle(w, 0.1)
+        assert sum(u.router.part for u in w.cells.units.values()) <= 1 + 2e-3
+    assert all(0.3 < u.router.part < 0.35 for u in w.cells.units.values())
+
+
+def test_namings_whose_end_nobody_saw_leave_nothing_behind() -> None:
+    w = CellWorld()
+    for _ in range(5):
+        request = w.ask("t1")
+        where = w.open.pop((request, 0))
+        w.give(i.AttemptEnded(request, 0, where, i.Status.CANCELLED, 0, final=True))
+    assert not w.cells.requests
+
+
+def test_lists_without_weights_give_each_cell_a_part_of_the_guess() -> None:
+    told = replace(SET, weights="off", link_kb_per_s=56_000.0, pace_kb_per_s=6_900.0)
+    cells = Cells(told, 7, 0, plan_of(), 400)
+    rows = tuple(replace(b, weight=0.0) for b in (*BOXES, *PARENTS, ORIGIN))
+    cells.handle(0, [i.MembersChanged(i.ListKind.FULL, rows)])
+    routers = [unit.router for unit in cells.units.values()]
+    boxes = sum(r._size(p) for r in routers for p in r.caches)
+    whole = Plan({"one": Cell("one")}, {})
+    alone = Cells(told, 7, 0, whole, 400)
+    alone.handle(0, [i.MembersChanged(i.ListKind.FULL, rows)])
+    router = alone.units["one"].router
+    assert boxes == pytest.approx(sum(router._size(p) for p in router.caches))
--- a/tests/test_dns_routing.py
+++ b/tests/test_dns_routing.py
@@ -13,6 +13,7 @@
 import dns.tsigkeyring
 import dns.update
 
+from onyxwick import Router
 from onyxwick import interface as i
 from onyxwick.config.service import load
 from onyxwick.core import Core
@@ -151,12 +152,14 @@
         for part in range(150):
             await client(resolver, part)
         cold = sum(address == BOXES["c0"][0] for _, address in resolver.named)
-        peer = depot.core.router.peers["c0"]
+        router = depot.core.router
+        assert isinstance(router, Router)
+        peer = router.peers["c0"]
         rules, work = SETTINGS.rules, 250_000.0  # first guess of a chunk's sending: half its aim
         most = rules.overload_multiple * peer.info.weight * rules.cold_start * rules.overload_window_us * 1.3
         assert 0 < cold * work <= most and len(peer.spent) == cold
         # A naming teaches neither latency nor hits.
-        assert depot.core.router.answers == [0, 0] and not depot.core.router.hits
+        assert router.answers == [0, 0] and not router.hits
 
     play(scene)
 
