Lab: emulators, open-loop load and an audit from the sockets; the gate learns from the module's refusals

Claims about cells need a scenario that shows harm without them. Bookings at ten times their rate and clients that never read are faults of the scenario too.

--- /dev/null
+++ b/examples/lab/move-cells-2.hcl
@@ -0,0 +1,18 @@
+# The same with the move that the lab orders under load.
+cells {
+  tenant_field = "X-Tenant"
+}
+
+cell "old" { members = ["box-1", "box-2", "box-3", "box-4"] }
+cell "new" { members = ["box-5", "box-6", "box-7", "box-8"] }
+
+tenant "mover" { cells = ["old"] }
+tenant "stayer" { cells = ["old"] }
+tenant "host" { cells = ["new"] }
+
+move "spring" {
+  tenant = "mover"
+  to     = ["new"]
+  warm   = "8s"
+  bake   = "3s"
+}
--- a/onyxwick/cells/fleet.py
+++ b/onyxwick/cells/fleet.py
@@ -111,7 +111,10 @@
                         self.arbiter.asked(unit.name)
                 case i.Refuse(request=request) | i.Fail(request=request):
                     if home := self.requests.get(request):
+                        # The module sheds whoever comes next; the gate learns from it to hold each tenant
+                        # to its part before that, so that the one that floods is the one that is shed.
                         unit.refused()
+                        self.admission.learn(self.now, unit, home.kind, True)
                         self._over(request, home)
             self.out.append(action)
 
--- a/onyxwick/cli/__init__.py
+++ b/onyxwick/cli/__init__.py
@@ -11,6 +11,7 @@
 COMMANDS = {  # name: (module with a click command of that name, what it is for)
     "run": ("onyxwick.cli.run", "Run one director in the foreground."),
     "cells": ("onyxwick.cli.cells", "What the cells do, what a plan would do, and moves."),
+    "lab": ("onyxwick.cli.lab", "Scenarios against the real program, judged from the sockets."),
     "config": ("onyxwick.cli.config", "Check configuration files."),
 }
 
--- /dev/null
+++ b/onyxwick/lab/clients.py
@@ -0,0 +1,258 @@
+"""Clients over FastCGI: open-loop, with retries, their answers recorded for the audit and the figures."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from onyxwick.config.address import Address
+from onyxwick.lab.arrivals import Arrival
+from onyxwick.lab.audit import Records, Taken
+from onyxwick.lab.model import Job
+from onyxwick.net import fastcgi
+
+OPEN_MOST = 32  # requests on one connection
+CONNECTIONS_MOST = 40  # of one tenant at one director
+RETRIES = 2
+PAUSE_S = (0.15, 0.4)  # before a retry, where the answer names no time
+DEAF_BYTES = 4096  # of receive buffer, at a client that does not read
+LATE_WORTH = 0.1  # of an answer that comes after its aim
+
+
+@dataclass(slots=True)
+class Tally:
+    """One tenant's figures. Latencies in us from the intended send to the last byte, of what was served."""
+
+    asked: int = 0
+    worth_asked: float = 0.0
+    worth_served: float = 0.0
+    worth_in_time: float = 0.0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    retries: int = 0
+    told_when: int = 0  # refusals that named a time to return
+    latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 3))
+
+
+class Connection(asyncio.Protocol):
+    """One FastCGI connection; `reads` False: a client that takes nothing of what it is sent."""
+
+    def __init__(self, reads: bool) -> None:
+        self.reads = reads
+        self.transport: asyncio.Transport | None = None
+        self.data = bytearray()
+        self.bodies: dict[int, bytearray] = {}
+        self.waiting: dict[int, asyncio.Future[bytes | None]] = {}
+        self.ended: set[int] = set()
+        self.left: set[int] = set()  # given up: its answer may still come, once
+        self.twice = 0
+        self.closed = False
+        self.number = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_result(None)
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        while len(self.data) >= 8:
+            _, kind, number, size, pad = fastcgi.HEADER.unpack_from(self.data)
+            if len(self.data) < 8 + size + pad:
+                return
+            content = bytes(self.data[8 : 8 + size])
+            del self.data[: 8 + size + pad]
+            if kind == fastcgi.Type.STDOUT:
+                self.bodies.setdefault(number, bytearray()).extend(content)
+            elif kind == fastcgi.Type.END:
+                self._end(number, content)
+
+    def _end(self, number: int, content: bytes) -> None:
+        future = self.waiting.pop(number, None)
+        if future is None:
+            self.twice += number in self.ended and number not in self.left
+            self.left.discard(number)
+            return
+        self.ended.add(number)
+        body = bytes(self.bodies.pop(number, b""))
+        if not body and content[4:5] == bytes([fastcgi.Protocol.OVERLOADED]):
+            body = b"Status: 503 Overloaded\r\n\r\n"
+        if not future.done():
+            future.set_result(body)
+
+    def send(self, params: dict[str, str]) -> tuple[int, asyncio.Future[bytes | None]]:
+        assert self.transport is not None
+        self.number = self.number % 60_000 + 1
+        self.ended.discard(self.number)
+        self.left.discard(self.number)
+        pairs = fastcgi.write_pairs({k.encode(): v.encode() for k, v in params.items()})
+        begin = fastcgi.BEGIN_BODY.pack(fastcgi.RESPONDER, 1)
+        records = ((fastcgi.Type.BEGIN, begin), (fastcgi.Type.PARAMS, pairs))
+        ends = ((fastcgi.Type.PARAMS, b""), (fastcgi.Type.STDIN, b""))
+        self.transport.write(b"".join(fastcgi.record(k, self.number, c) for k, c in records + ends))
+        future: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
+        self.waiting[self.number] = future
+        return self.number, future
+
+    def abort(self, number: int) -> None:
+        self.waiting.pop(number, None)
+        self.left.add(number)
+        if self.transport is not None and not self.closed:
+            self.transport.write(fastcgi.record(fastcgi.Type.ABORT, number, b""))
+
+
+async def _connect(address: Address, reads: bool) -> Connection:
+    loop, sock = asyncio.get_running_loop(), socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    if not reads:  # what the kernel would take in for it would hide that it reads nothing
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, DEAF_BYTES)
+    try:
+        await loop.sock_connect(sock, address)
+        _, connection = await loop.create_connection(lambda: Connection(reads), sock=sock)
+    except OSError:
+        sock.close()
+        raise
+    if not reads and connection.transport is not None:
+        connection.transport.pause_reading()
+    return connection
+
+
+@dataclass(slots=True)
+class Reply:
+    verdict: str
+    tag: str = ""
+    retry_after_s: float | None = None
+
+
+def read_reply(data: bytes) -> Reply:
+    head, _, _ = data.partition(b"\r\n\r\n")
+    lines = dict(line.partition(": ")[::2] for line in head.decode("latin-1").split("\r\n"))
+    status = lines.get("Status", "")[:3]
+    if status == "200":
+        return Reply("served", lines.get("ETag", "").strip('"'))
+    after = lines.get("Retry-After-Ms")
+    if status in ("429", "503"):
+        return Reply("refused", retry_after_s=int(after) / 1000 if after else None)
+    return Reply("failed")
+
+
+class Clients:
+    """All clients of a run. `tenant_field`: the request's parameter that names the tenant."""
+
+    def __init__(
+        self,
+        jobs: dict[str, Job],
+        records: Records,
+        clock: Callable[[], int],
+        seed: int,
+        group: Callable[[str], int],
+        counted_from_us: int,
+    ) -> None:
+        self.jobs, self.records, self.clock, self.group = jobs, records, clock, group
+        self.random = random.Random(seed)
+        self.counted_from_us = counted_from_us
+        self.pools: dict[tuple[str, int], list[Connection]] = {}
+        self.tallies: dict[str, Tally] = {}
+        self.mute: set[str] = set()  # tenants whose clients do not read
+        self.twice = 0
+
+    async def _connection(self, tenant: str, director: int, address: Address) -> Connection | None:
+        pool = self.pools.setdefault((tenant, director), [])
+        for c in [c for c in pool if c.closed]:
+            self.twice += c.twice
+            pool.remove(c)
+        reads = tenant not in self.mute
+        fit = [c for c in pool if len(c.waiting) < OPEN_MOST and c.reads is reads]
+        if fit and (len(pool) >= 2 or not fit[0].waiting):
+            return min(fit, key=lambda c: len(c.waiting))
+        if len(pool) >= CONNECTIONS_MOST:
+            return fit[0] if fit else None
+        try:
+            connection = await _connect(address, reads)
+        except OSError:
+            return None
+        pool.append(connection)
+        return connection
+
+    async def ask(self, arrival: Arrival, start_us: int, director: int, address: Address) -> None:
+        """One arrival with its retries, from its intended time on."""
+        job = self.jobs[arrival.class_name]
+        intended = start_us + arrival.at_us
+        tally = self.tallies.setdefault(arrival.tenant, Tally())
+        counted = arrival.at_us >= self.counted_from_us
+        if counted:
+            tally.asked += 1
+            tally.worth_asked += job.kind.worth
+        limit_us = int(job.kind.deadline_us * self.random.uniform(0.5, 1.0))
+        for attempt in range(1 + RETRIES):
+            reply = await self._try(arrival, job, director, address, limit_us, attempt > 0)
+            if reply.verdict == "served":
+                self._served(tally, job, intended, counted)
+                return
+            if counted:
+                tally.told_when += reply.retry_after_s is not None
+                tally.refused += reply.verdict == "refused"
+                tally.failed += reply.verdict != "refused"
+            if attempt == RETRIES or reply.verdict == "left":
+                return
+            await asyncio.sleep(max(reply.retry_after_s or 0.0, self.random.uniform(*PAUSE_S)))
+            tally.retries += counted
+
+    def _served(self, tally: Tally, job: Job, intended: int, counted: bool) -> None:
+        if not counted:
+            return
+        taken, kind = self.clock() - intended, job.kind
+        in_time = taken <= kind.aim_us + kind.aim_stretch * job.sending_us
+        tally.served += 1
+        tally.worth_in_time += kind.worth * in_time
+        tally.worth_served += kind.worth * (1.0 if in_time else LATE_WORTH)
+        tally.latency.record_value(max(1, taken))
+
+    async def _try(
+        self, arrival: Arrival, job: Job, director: int, address: Address, limit_us: int, again: bool
+    ) -> Reply:
+        connection = await self._connection(arrival.tenant, director, address)
+        if connection is None:
+            return Reply("failed")
+        request, group = f"{self.random.getrandbits(64):016x}", self.group(arrival.object)
+        params = {
+            "SCRIPT_NAME": f"/call/{arrival.class_name}",
+            "HTTP_X_REQUEST_ID": request,
+            "HTTP_X_TIMEOUT_MS": str(max(1, limit_us // 1000)),
+            "HTTP_X_OBJECT": arrival.object,
+            "HTTP_X_NTH": str(arrival.part),
+            "HTTP_X_BATCH": str(group),
+            "HTTP_X_TENANT": arrival.tenant,
+        } | ({"HTTP_X_RETRY": "1"} if again else {})
+        taken = Taken(request, arrival.tenant, group, job.kind.write, self.clock())
+        self.records.taken[request] = taken
+        number, future = connection.send(params)
+        done, _ = await asyncio.wait([future], timeout=limit_us / 1e6)
+        if not done:
+            taken.left = True
+            connection.abort(number)
+            return Reply("left")
+        data = future.result()
+        if data is None:  # the connection ended; with clients that do not read that is their own doing
+            taken.left = taken.left or not connection.reads
+            return Reply("failed")
+        reply = read_reply(data)
+        taken.answers, taken.verdict, taken.tag = taken.answers + 1, reply.verdict, reply.tag
+        return reply
+
+    def close(self) -> None:
+        for pool in self.pools.values():
+            for connection in pool:
+                self.twice += connection.twice
+                if connection.transport is not None:
+                    connection.transport.abort()
--- /dev/null
+++ b/onyxwick/lab/machines.py
@@ -0,0 +1,273 @@
+"""Emulators on loopback: boxes, parents and the origin, speaking the caches' protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from functools import partial
+
+from onyxwick.config.address import Address
+from onyxwick.lab.audit import Given, Records, Send
+from onyxwick.lab.copies import Copy, Store, Truth
+from onyxwick.lab.link import Link
+from onyxwick.lab.model import Job, Tier
+from onyxwick.net import resp
+
+FILL_PACE = 0.4  # of a request's sending time that a fill takes on the link of its source
+COPIES = 20_000  # that one machine keeps
+
+
+class Unfilled(Exception):
+    """A fill that came to nothing; the text is the note that the answer carries."""
+
+
+class World:
+    """What all machines of a run share: the clock, the truth, the records, and each other."""
+
+    def __init__(self, jobs: dict[str, Job], clock: Callable[[], int], groups: int) -> None:
+        self.jobs, self.clock, self.groups = jobs, clock, groups
+        self.truth, self.records = Truth(), Records()
+        self.machines: dict[str, Machine] = {}
+
+    def group(self, name: str) -> int:
+        return int(name[-4:], 16) % self.groups
+
+
+class Machine:
+    """One box, parent or origin: a listener, a link that its transfers share, and what it keeps."""
+
+    def __init__(self, world: World, name: str, kind: str, zone: str, tier: Tier, address: Address) -> None:
+        self.world, self.name, self.kind, self.zone = world, name, kind, zone
+        self.tier, self.address = tier, address
+        self.link, self.store = Link(tier, world.clock()), Store(COPIES)
+        self.waiting: dict[int, asyncio.Future[None]] = {}
+        self.joined: dict[tuple[str, int], asyncio.Future[Copy]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.server: asyncio.Server | None = None
+        self.clients: set[asyncio.StreamWriter] = set()
+        self.hits = self.fills = 0
+
+    # ---- life -------------------------------------------------------------------------------------------
+
+    async def listen(self) -> None:
+        self.server = await asyncio.start_server(self._client, *self.address)
+
+    async def die(self) -> None:
+        """The process ends: its connections are reset, its copies are gone."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.clients):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            writer.transport.abort()
+        for future in self.waiting.values():
+            future.cancel()
+        self.waiting.clear()
+        self.store = Store(COPIES)
+
+    async def restart(self) -> None:
+        now = self.world.clock()
+        self.link = Link(self.tier, now, started=now)
+        await self.listen()
+
+    # ---- the link ---------------------------------------------------------------------------------------
+
+    def _turn(self) -> None:
+        """Let the link's time pass, wake who is done, and set the timer for the next one."""
+        now = self.world.clock()
+        for number in self.link.advance(now):
+            future = self.waiting.pop(number, None)
+            if future is not None and not future.done():
+                future.set_result(None)
+        if self.timer is not None:
+            self.timer.cancel()
+        end = self.link.next_end(now)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later((end - now) / 1e6, self._turn) if end is not None else None
+
+    async def transfer(self, work_us: float) -> None:
+        self.link.advance(self.world.clock())
+        number = self.link.begin(self.world.clock(), work_us)
+        future = self.waiting[number] = asyncio.get_running_loop().create_future()
+        self._turn()
+        try:
+            await future
+        finally:
+            if self.waiting.pop(number, None) is not None:
+                self.link.cancel(number)
+                self._turn()
+
+    def _asked(self, work_us: float) -> None:
+        now = self.world.clock()
+        if self.link.asked(now, work_us):
+            self.world.records.fallen.append((self.name, now))
+            asyncio.get_running_loop().create_task(self.die())
+
+    # ---- copies -----------------------------------------------------------------------------------------
+
+    async def give(self, name: str, part: int, oldest_us: int, held_only: bool, work_us: float) -> Copy:
+        """A copy for another machine's fill. Unfilled tells why there is none."""
+        if self.server is None:
+            raise Unfilled("UP_DOWN")
+        self._asked(work_us)
+        copy = await self._own(name, part, oldest_us, held_only, work_us)
+        await self.transfer(work_us)
+        return copy
+
+    async def _own(self, name: str, part: int, oldest_us: int, held_only: bool, work_us: float) -> Copy:
+        now = self.world.clock()
+        if self.kind == "origin":
+            await asyncio.sleep(self.tier.wait_us / 1e6)
+            return self.world.truth.copy(name, part, self.world.group(name), self.world.clock())
+        if copy := self.store.get(name, part, now, oldest_us):
+            return copy
+        if held_only or self.kind != "parent":
+            raise Unfilled("UP_MISS")
+        copy = await self.world.machines["origin"].give(name, part, oldest_us, False, work_us)
+        self.store.keep(name, part, copy, 1)
+        return copy
+
+    async def _fill(self, name: str, part: int, oldest_us: int, told: dict[str, str], job: Job) -> Copy:
+        source = self.world.machines.get(told["parent"])
+        if source is None:
+            raise Unfilled("UP_DOWN")
+        hints = told.get("hints", "").split("+")
+        key, rank = (name, part), int(told.get("shelf", "0"))
+        if "share" in hints and (under_way := self.joined.get(key)) is not None:
+            return await asyncio.shield(under_way)
+        future: asyncio.Future[Copy] = asyncio.get_running_loop().create_future()
+        self.joined[key] = future
+        future.add_done_callback(lambda done: done.cancelled() or done.exception())
+        try:
+            work = FILL_PACE * job.sending_us
+            copy = await source.give(name, part, oldest_us, "peek" in hints, work)
+            self.fills += 1
+            if rank:
+                self.store.keep(name, part, copy, rank)
+            future.set_result(copy)
+            return copy
+        except Unfilled as error:
+            future.set_exception(error)
+            raise
+        finally:
+            if not future.done():
+                future.cancel()
+            if self.joined.get(key) is future:
+                del self.joined[key]
+
+    # ---- the wire ---------------------------------------------------------------------------------------
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.clients.add(writer)
+        parser, tasks = resp.Parser(), dict[bytes, asyncio.Task[None]]()
+        try:
+            while data := await reader.read(65_536):
+                parser.buffer.feed(data)
+                for words in parser.messages():
+                    self._command(words, writer, tasks)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            for task in tasks.values():
+                task.cancel()
+            self.clients.discard(writer)
+            writer.close()
+
+    def _command(
+        self, words: list[bytes], writer: asyncio.StreamWriter, tasks: dict[bytes, asyncio.Task[None]]
+    ) -> None:
+        if words[0] == b"STOP":
+            if task := tasks.pop(words[1], None):
+                task.cancel()
+        elif words[0] in (b"HELO", b"STAT"):
+            writer.write(resp.command(words[1], b"well", b"-", b""))
+        else:
+            task = asyncio.get_running_loop().create_task(self._guarded(words, writer))
+            tasks[words[1]] = task
+            task.add_done_callback(partial(_forget, tasks, words[1]))
+
+    async def _guarded(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        answer = await self._request(words[1].decode(), resp.fields(words[2]))
+        if not writer.is_closing():
+            writer.write(resp.command(words[1], *answer))
+
+    async def _request(self, request: str, told: dict[str, str]) -> tuple[bytes, bytes, bytes]:
+        world, now = self.world, self.world.clock()
+        job = world.jobs[told["c"]]
+        world.records.sends.append(Send(now, self.name, request, told.get("parent")))
+        self._asked(job.sending_us)
+        if job.kind.write:
+            return await self._write(request, job)
+        name, part = told["k"], int(told["p"])
+        oldest = int(told.get("accept", "0")) * 1000 or job.kind.lifetime_us
+        note, copy = "HIT", self.store.get(name, part, now, oldest)
+        if self.kind == "origin":
+            copy = await self._own(name, part, oldest, False, 0)
+        if copy is None and "parent" not in told:
+            return b"absent", b"-", b""
+        if copy is None:
+            try:
+                copy, note = await self._fill(name, part, oldest, told, job), "MISS"
+            except Unfilled as error:
+                word = b"absent" if str(error) == "UP_MISS" else b"failed"
+                return word, f"note={error}".encode(), b""
+            waited = (world.clock() - now) / 1000
+        else:
+            self.hits += 1
+            waited = 0.0
+        await self.transfer(job.sending_us)
+        world.records.given.append(Given(request, copy.tag, copy.dated_us, now))
+        fields = f"digest={copy.tag},dated={copy.dated_us // 1000},note={note},first={waited:.1f}"
+        return b"data", fields.encode(), copy.tag.encode().ljust(job.bytes, b".")
+
+    async def _write(self, request: str, job: Job) -> tuple[bytes, bytes, bytes]:
+        """A write runs at the origin, and is recorded as soon as it may have run."""
+        origin = self.world.machines["origin"]
+        await asyncio.sleep(origin.tier.wait_us / 1e6)
+        self.world.records.ran.append(request)
+        await origin.transfer(job.sending_us)
+        now = self.world.clock()
+        tag = f"w{request}"
+        self.world.records.given.append(Given(request, tag, now, now))
+        return b"data", f"digest={tag},dated={now // 1000},note=MISS_ORIGIN".encode(), b"done"
+
+
+def _forget(tasks: dict[bytes, asyncio.Task[None]], request: bytes, done: asyncio.Task[None]) -> None:
+    if tasks.get(request) is done:
+        del tasks[request]
+
+
+class Coordinator:
+    """The feed: numbered events, and the last number each second."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.events: list[bytes] = []
+        self.changed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+
+    def tell(self, line: bytes) -> None:
+        self.events.append(line)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def listen(self) -> None:
+        self.server = await asyncio.start_server(self._client, *self.address)
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, ValueError, asyncio.CancelledError):
+            last = int((await reader.readline()).split()[1])
+            while True:
+                changed = self.changed
+                for line in self.events[last:]:
+                    writer.write(line)
+                last = max(last, len(self.events))
+                writer.write(b"%d\n" % len(self.events))
+                await writer.drain()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(changed.wait(), 1.0)
+        writer.close()
--- /dev/null
+++ b/onyxwick/lab/scenario.py
@@ -0,0 +1,130 @@
+"""Scenarios from HCL."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from onyxwick import interface as i
+from onyxwick.config import ConfigError, hcl
+from onyxwick.config.fields import Fields
+from onyxwick.lab.model import Fault, Happening, Job, Load, Scenario, Tier
+
+MINUTE = 60_000_000
+REPEATS = {"free": i.Repeat.SAFE, "once": i.Repeat.UNSAFE}
+WHAT = ("purge", "drain", "lift", "kill", "start", "service")
+
+
+def _tier(row: Fields, start: float, rise_us: int, multiple: float) -> Tier:
+    out = Tier(
+        row.whole("count", 1, 200, 1),
+        row.number("capacity", 0.1, 10_000),
+        row.share("cold_share", start),
+        row.duration("cold", 0, MINUTE, rise_us),
+        row.number("fall_multiple", 1, 100, multiple),
+        row.duration("wait", 0, MINUTE, 0),
+    )
+    row.done()
+    return out
+
+
+def _job(row: Fields) -> Job:
+    repeat = REPEATS[row.choice("repeat", REPEATS, "free")]
+    kind = i.RequestClass(
+        row.label,
+        repeat,
+        row.duration("aim", 1000, MINUTE),
+        row.duration("deadline", 1000, MINUTE),
+        aim_stretch=row.number("stretch", 0, 100, 0),
+        worth=row.number("worth", 0.01, 1000, 1),
+        write=repeat is i.Repeat.UNSAFE,
+        segmented=True,
+        lifetime_us=row.duration("fresh", 0, MINUTE, 0),
+    )
+    out = Job(
+        kind,
+        row.duration("sending", 1000, MINUTE),
+        row.whole("bytes", 1, 200_000, 2000),
+        row.whole("parts", 1, 100, 1),
+    )
+    row.done()
+    return out
+
+
+def _fault(row: Fields, classes: set[str]) -> Fault:
+    out = Fault(
+        row.label,
+        row.duration("begin", 0, 10 * MINUTE),
+        row.duration("end", 0, 10 * MINUTE),
+        row.number("factor", 0, 1000, 1),
+        row.flag("unique", False),
+        row.text("only", "") or None,
+        row.flag("never_reads", False),
+    )
+    if out.only and out.only not in classes:
+        raise row.error("only", f"'{out.only}' is no class")
+    row.done()
+    return out
+
+
+def _load(row: Fields, classes: set[str]) -> Load:
+    mix = []
+    for name, value in row.items("mix").items():
+        if name not in classes or not isinstance(value.data, int | float) or value.data < 0:
+            raise row.error("mix", f"'{name}' is no class with a share", value.line)
+        mix.append((name, float(value.data)))
+    out = Load(
+        row.label,
+        row.number("rate_per_s", 0, 10_000),
+        row.whole("objects", 1, 1_000_000, 100),
+        row.number("zipf", 0, 4, 0.9),
+        tuple(mix),
+        tuple(_fault(fault, classes) for fault in row.blocks("misbehaves", 1)),
+    )
+    if not mix:
+        raise row.error("mix", "names no class")
+    row.done()
+    return out
+
+
+def _happening(row: Fields) -> Happening:
+    at, what = row.duration("at", 0, 10 * MINUTE), row.choice("what", WHAT)
+    out = Happening(at, what, row.text("name"))
+    row.done()
+    return out
+
+
+def _needed(top: Fields, name: str) -> Fields:
+    found = top.block_of(name)
+    if found is None:
+        raise ConfigError(f"{top.file}:1: block '{name}' is missing")
+    return found
+
+
+def read(path: Path) -> Scenario:
+    """A scenario from its file; ConfigError names file, line and field."""
+    top = Fields(hcl.read(path), path.name)
+    head = _needed(top, "scenario")
+    jobs = tuple(_job(row) for row in top.blocks("class", 1))
+    names = {job.kind.name for job in jobs}
+    service = head.text("service", "")
+    bounds = head.items("least")
+    out = Scenario(
+        name=path.stem,
+        duration_us=head.duration("duration", 1_000_000, 10 * MINUTE),
+        counted_from_us=head.duration("counted_from", 0, 10 * MINUTE, 0),
+        directors=head.whole("directors", 1, 8, 1),
+        boxes=_tier(_needed(top, "boxes"), 0.18, 17_000_000, 4.0),
+        parents=_tier(_needed(top, "parents"), 0.07, 20_000_000, 2.0),
+        origin=_tier(_needed(top, "origin"), 1.0, 0, 100.0),
+        jobs=jobs,
+        loads=tuple(_load(row, names) for row in top.blocks("tenant", 1)),
+        happenings=tuple(_happening(row) for row in top.blocks("happens")),
+        service=path.parent / service if service else None,
+        told_after_us=head.duration("told_after", 0, MINUTE, 200_000),
+        purge_done_us=head.duration("purge_done", 0, MINUTE, 6_000_000),
+        warm_objects=head.whole("warm_objects", 0, 100_000, 0),
+        bounds=tuple((name, float(value.data)) for name, value in bounds.items()),
+    )
+    head.done()
+    top.done()
+    return out
