Cells over the API, DNS and reload as recorded exchanges; costs and crashes in the lab

The plan over the administration API (rows, versions, repeats, refusals), a reload on SIGHUP that keeps the last good plan, a tenant's DNS names through its cell and clients that never read are now tests. The lab plays crashes of directors, extends scenarios, measures deciders alone and the program beside an earlier revision.

--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -60,7 +60,8 @@
 @click.option("--cells/--no-cells", default=True, show_default=True)
 @click.option("--fault", help="The way to misbehave that is played; none without it.")
 @click.option("--slot", type=click.IntRange(0, 99), default=0, help="Keeps apart what runs at once.")
-def play(file: Path, seed: int, cells: bool, fault: str | None, slot: int) -> None:
+@click.option("--program", type=click.Path(path_type=Path), help="The tree of another revision.")
+def play(file: Path, seed: int, cells: bool, fault: str | None, slot: int, program: Path | None) -> None:
     """Play one variant of the scenario FILE once; its report as JSON, exit 1 where a rule broke."""
     import uvloop
 
@@ -72,9 +73,50 @@
         raise Unusable(f"no fault '{fault}' in {file.name}; it has: {', '.join(scenario.faults) or 'none'}")
 
     async def once() -> dict[str, Any]:
-        return await Run(scenario, seed, cells, fault, slot).play()
+        run = Run(scenario, seed, cells, fault, slot)
+        run.program = program
+        return await run.play()
 
     report = uvloop.run(once())
     click.echo(json.dumps(report))
     if report["broken"]:
         raise click.exceptions.Exit(1)
+
+
+@lab.command()
+@path_argument
+@click.option("--cells", type=int, default=0, show_default=True, help="0: the router alone.")
+@click.option("--boxes", type=int, default=64, show_default=True)
+@click.option("--tenants", type=int, default=64, show_default=True)
+@click.option("--requests", type=int, default=20_000, show_default=True)
+def decider(file: Path, cells: int, boxes: int, tenants: int, requests: int) -> None:
+    """The cost of a decider alone, with the settings of the scenario FILE, as JSON."""
+    from onyxwick.lab import cost
+    from onyxwick.lab.scenario import read
+
+    click.echo(json.dumps(cost.decider(read(file), cells, boxes, tenants, requests)))
+
+
+@lab.command()
+@path_argument
+@click.option("--runs", default=3, show_default=True, help="Of each row, in turn.")
+@click.option("--requests", default=20_000, show_default=True)
+def cost(file: Path, runs: int, requests: int) -> None:
+    """Deciders with 0, 1, 8 and 64 cells over 64 and 512 boxes, each in its own process, as JSON lines."""
+    from onyxwick.lab.cost import in_processes
+
+    rows = [(cells, boxes, 64) for boxes in (64, 512) for cells in (0, 1, 8, 64)]
+    for row in in_processes(file, [*rows, (64, 512, 10_000)], requests, runs):
+        click.echo(json.dumps(row))
+
+
+@lab.command()
+@click.argument("revision")
+@path_argument
+@click.option("--pairs", default=3, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def against(revision: str, file: Path, pairs: int, seed: int) -> None:
+    """The director of this tree beside that of an earlier REVISION: processor time and memory, as JSON."""
+    from onyxwick.lab.cost import against as compared
+
+    click.echo(json.dumps(compared(file, revision, pairs, seed)))
--- a/onyxwick/config/cells.py
+++ b/onyxwick/config/cells.py
@@ -227,4 +227,9 @@
     policy = plan.policy
     shown = {"tenant_field": policy.tenant_field, "default_tenant": policy.default_tenant}
     shown |= {"seat": spoken(policy.seat_us), "reserved": policy.reserved}  # type: ignore[dict-item]
-    return {"cells": cells, "tenants": tenants, "moves": moves, "policy": _less(shown)}
+    return {
+        "cells": cells,
+        "tenants": tenants,
+        "moves": moves,
+        "policy": _less(shown) | {"reserved": policy.reserved},
+    }
--- a/onyxwick/config/errors.py
+++ b/onyxwick/config/errors.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import difflib
 from collections.abc import Iterable
 
 
@@ -12,5 +11,7 @@
 
 def guess(word: str, known: Iterable[str]) -> str:
     """What the writer of `word` probably meant, as the end of a sentence; empty where nothing is close."""
+    import difflib  # here: a director that starts well never needs it
+
     close = difflib.get_close_matches(word, list(known), 1, 0.6)
     return f"; did you mean '{close[0]}'?" if close else ""
--- a/onyxwick/lab/clients.py
+++ b/onyxwick/lab/clients.py
@@ -165,6 +165,7 @@
         self.tallies: dict[str, Tally] = {}
         self.mute: set[str] = set()  # tenants whose clients do not read
         self.twice = 0
+        self.crashes: dict[int, int] = {}  # director: when it was last killed
 
     async def _connection(self, tenant: str, director: int, address: Address) -> Connection | None:
         pool = self.pools.setdefault((tenant, director), [])
@@ -244,7 +245,9 @@
             return Reply("left")
         data = future.result()
         if data is None:  # the connection ended; with clients that do not read that is their own doing
-            taken.left = taken.left or not connection.reads
+            # What a director that was killed had taken is not owed an answer by anybody.
+            killed = self.crashes.get(director, 0) >= taken.sent_us
+            taken.left = taken.left or killed or not connection.reads
             return Reply("failed")
         reply = read_reply(data)
         taken.answers, taken.verdict, taken.tag = taken.answers + 1, reply.verdict, reply.tag
--- /dev/null
+++ b/onyxwick/lab/cost.py
@@ -0,0 +1,150 @@
+"""What cells cost: the deciders alone in a process each, and the whole program beside an earlier revision."""
+
+from __future__ import annotations
+
+import json
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from onyxwick import interface as i
+from onyxwick.cells import Cell, Cells, Plan, Tenant
+from onyxwick.lab.model import Scenario
+from onyxwick.logic import Router
+
+S = 1_000_000
+OPEN = 40  # requests under way at once in the measurement of a decider
+OBJECTS = 5000
+
+
+def _settings(scenario: Scenario) -> i.Settings:
+    from onyxwick.lab.play import settings
+    from onyxwick.settings import Pairs, read_settings
+
+    return read_settings(Pairs.of_json({**settings(scenario), "self_index": 0}))
+
+
+def _resident_kb() -> int:
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    return 0
+
+
+def decider(scenario: Scenario, cells: int, boxes: int, tenants: int, requests: int) -> dict[str, Any]:
+    """Processor time (us) and memory (kB) of one decider; `cells` 0: the router alone, as with cells off."""
+    told, now = _settings(scenario), 100 * S
+    before = _resident_kb()
+    if cells:
+        rows = {f"t{n}": Tenant(f"t{n}", cells=(f"c{n % cells}",)) for n in range(tenants)}
+        plan = Plan({f"c{n}": Cell(f"c{n}") for n in range(cells)}, rows)
+        router: i.Decider = Cells(told, 7, now, plan, 2000)
+    else:
+        router = Router(told, 7, now)
+    members = [i.Member(f"b{n:04d}", told.zone, "box", 0, i.State.READY, 6.0, 0) for n in range(boxes)]
+    members += [i.Member(f"p{n}", "hub", "parent", 0, i.State.READY, 30.0, 0) for n in range(2)]
+    members.append(i.Member("o", "hub", "origin", 0, i.State.READY, 60.0, 0))
+    router.handle(now, [i.MembersChanged(i.ListKind.FULL, tuple(members))])
+    spent, served = _drive(router, told.classes[0].name, now, tenants, requests)
+    return {
+        "cells": cells,
+        "boxes": boxes,
+        "tenants": tenants,
+        "us_a_request": round(spent / requests * 1e6, 1),
+        "served": served,
+        "memory_kb": _resident_kb() - before,
+    }
+
+
+def _drive(router: i.Decider, class_name: str, now: int, tenants: int, requests: int) -> tuple[float, int]:
+    """Arrivals 2 ms apart, each answered when `OPEN` later ones have come; seconds spent, how many served."""
+    out: list[tuple[str, str]] = []
+    served, begin = 0, time.process_time()
+    for n in range(requests):
+        now += 2000
+        ask = i.RequestArrived(
+            f"r{n}", class_name, f"o{n * 7919 % OBJECTS}", 3 * S, group=1, tenant=f"t{n % tenants}"
+        )
+        for action in router.handle(now, [ask]):
+            if isinstance(action, i.Attempt | i.Fetch):
+                out.append((action.request, action.member))
+        if len(out) > OPEN:
+            request, member = out.pop(0)
+            end = i.AttemptEnded(request, 0, member, i.Status.OK, OPEN * 2000, True, i.Detail.HIT)
+            router.handle(now, [end])
+            served += 1
+        if n % 500 == 0:
+            router.handle(now, [i.TimerFired("cells"), i.TimerFired("due")])
+    return time.process_time() - begin, served
+
+
+def in_processes(
+    path: Path, rows: list[tuple[int, int, int]], requests: int, runs: int
+) -> list[dict[str, Any]]:
+    """Each (cells, boxes, tenants) `runs` times, in turn, each time in a process of its own; medians."""
+    told: dict[tuple[int, int, int], list[dict[str, Any]]] = {row: [] for row in rows}
+    for _ in range(runs):
+        for row in rows:
+            words = [
+                sys.executable,
+                "-m",
+                "onyxwick",
+                "lab",
+                "decider",
+                str(path),
+                "--requests",
+                str(requests),
+            ]
+            for name, value in zip(("--cells", "--boxes", "--tenants"), row, strict=True):
+                words += [name, str(value)]
+            done = subprocess.run(words, capture_output=True, text=True, check=True)
+            told[row].append(json.loads(done.stdout))
+    out = []
+    for group in told.values():
+        costs = [one["us_a_request"] for one in group]
+        memory = int(statistics.median(one["memory_kb"] for one in group))
+        out.append(
+            {
+                **group[0],
+                "us_a_request": statistics.median(costs),
+                "us_least": min(costs),
+                "us_most": max(costs),
+                "memory_kb": memory,
+            }
+        )
+    return out
+
+
+def against(path: Path, revision: str, pairs: int, seed: int) -> dict[str, Any]:
+    """The program of this tree and of an earlier revision, alternating, at the same seeds with cells off:
+    processor seconds of the director over the whole run, and its peak memory; ratios pair by pair."""
+    with tempfile.TemporaryDirectory() as folder:
+        tree = Path(folder) / "earlier"
+        subprocess.run(["git", "worktree", "add", "-q", "--detach", str(tree), revision], check=True)
+        try:
+            rows = [
+                {name: _one(path, seed + n, program) for name, program in (("now", None), ("earlier", tree))}
+                for n in range(pairs)
+            ]
+        finally:
+            subprocess.run(["git", "worktree", "remove", "--force", str(tree)], check=True)
+    out: dict[str, Any] = {"revision": revision, "runs": rows}
+    for figure in ("director_cpu_s", "director_peak_mb"):
+        ratios = sorted(row["now"][figure] / row["earlier"][figure] for row in rows)
+        out[figure] = {"median": statistics.median(ratios), "least": ratios[0], "most": ratios[-1]}
+    return out
+
+
+def _one(path: Path, seed: int, program: Path | None) -> dict[str, Any]:
+    words = [sys.executable, "-m", "onyxwick", "lab", "play", str(path), "--seed", str(seed), "--no-cells"]
+    words += ["--program", str(program)] if program else []
+    done = subprocess.run(words, capture_output=True, text=True, check=False)
+    if done.returncode not in (0, 1):
+        raise RuntimeError(done.stderr[-2000:])
+    told = json.loads(done.stdout)
+    kept = ("audited", "broken", "director_cpu_s", "director_peak_mb")
+    return {name: told[name] for name in kept}
--- a/onyxwick/lab/model.py
+++ b/onyxwick/lab/model.py
@@ -63,7 +63,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Happening:
-    """Something that is done at a time: purge GROUP, drain ID, lift ID, kill ID, start ID, service FILE."""
+    """Something that is done at a time: purge GROUP, drain ID, lift ID, kill ID, start ID, service FILE,
+    crash N (director N is killed and started again)."""
 
     at_us: int
     what: str
--- a/onyxwick/lab/play.py
+++ b/onyxwick/lab/play.py
@@ -105,6 +105,7 @@
         self.scenario, self.seed, self.misbehaves = scenario, seed, misbehaves
         self.service = scenario.service if cells else None
         self.base = f"127.{100 + slot}"
+        self.program: Path | None = None  # the tree of another revision whose director is played
         self.world = World(scenario.classes, unix_us, GROUPS)
         self.coordinator = Coordinator((f"{self.base}.9.1", 7070))
         self.clients = Clients(
@@ -184,9 +185,12 @@
         log = (self.folder / f"director-{n}.log").open("wb")
         program = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "onyxwick",
-            env=environment, stderr=log, stdout=asyncio.subprocess.PIPE,
+            env=environment, cwd=self.program, stderr=log, stdout=asyncio.subprocess.PIPE,
         )  # fmt: skip
-        self.programs.append(program)
+        if n < len(self.programs):
+            self.programs[n] = program
+        else:
+            self.programs.append(program)
         async with asyncio.timeout(READY_S):
             while True:
                 if program.returncode is not None:
@@ -200,6 +204,15 @@
     def _service_file(self) -> Path:
         return self.folder / "service.hcl"
 
+    async def _crash(self, n: int) -> None:
+        """Killed outright, and started again with no memory."""
+        program = self.programs[n]
+        self.clients.crashes[n] = unix_us()
+        program.kill()
+        await program.communicate()
+        self.clients.crashes[n] = unix_us()
+        await self._director(n)
+
     async def _end_directors(self) -> None:
         for n, program in enumerate(self.programs):
             if program.returncode is not None:
@@ -242,6 +255,8 @@
                 shutil.copy(self.service.parent / event.name, self._service_file())
                 for program in self.programs:
                     program.send_signal(signal.SIGHUP)
+            case "crash" if event.name.isdigit() and int(event.name) < len(self.programs):
+                await self._crash(int(event.name))
 
     async def _purge(self, group: int, now: int) -> None:
         """True at once; told after the coordinator's delay; done by each machine in its own time."""
--- a/onyxwick/lab/scenario.py
+++ b/onyxwick/lab/scenario.py
@@ -11,7 +11,8 @@
 
 MINUTE = 60_000_000
 REPEATS = {"free": i.Repeat.SAFE, "once": i.Repeat.UNSAFE}
-WHAT = ("purge", "drain", "lift", "kill", "start", "service")
+MOST_EXTENDED = 4  # files over each other
+WHAT = ("purge", "drain", "lift", "kill", "start", "service", "crash")
 
 
 def _tier(row: Fields, start: float, rise_us: int, multiple: float) -> Tier:
@@ -93,6 +94,25 @@
     return out
 
 
+def _extended(path: Path, depth: int = 0) -> hcl.Block:
+    """The file's blocks over those of the file that its `scenario` extends: a block of the same type and
+    labels is replaced, of `scenario` each attribute by itself; what happens is added."""
+    own = hcl.read(path)
+    head = next(own.of("scenario"), None)
+    base_name = head.attributes.pop("extends", None) if head else None
+    if head is None or base_name is None:
+        return own
+    if depth >= MOST_EXTENDED:
+        raise ConfigError(f"{path.name}:{base_name.line}: files extend each other in a circle")
+    base = _extended(path.parent / str(base_name.data), depth + 1)
+    above = next(base.of("scenario"))
+    above.attributes |= head.attributes
+    mine = {(block.type, *block.labels) for block in own.blocks if block.type != "happens"}
+    kept = [b for b in base.blocks if b is above or (b.type, *b.labels) not in mine]
+    base.blocks = kept + [block for block in own.blocks if block is not head]
+    return base
+
+
 def _needed(top: Fields, name: str) -> Fields:
     found = top.block_of(name)
     if found is None:
@@ -102,7 +122,7 @@
 
 def read(path: Path) -> Scenario:
     """A scenario from its file; ConfigError names file, line and field."""
-    top = Fields(hcl.read(path), path.name)
+    top = Fields(_extended(path), path.name)
     head = _needed(top, "scenario")
     jobs = tuple(_job(row) for row in top.blocks("class", 1))
     names = {job.kind.name for job in jobs}
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -162,6 +162,7 @@
             ]
             side += [loop.create_task(front.run()) for front in self._hosted()]
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
+            gc.collect()  # else what imports have left would be kept for good
             gc.freeze()  # what lives from the start need not be looked through again
             accepting = loop.create_task(self.front.accept(sock))
             self._enter(State.SERVING)
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -5,8 +5,9 @@
 `coordinator`, `moved` (where the feed can move) or the id of a member, whose stand-in listens where the list
 says; a further connection of the same kind has a suffix to its name, as `client.2`. BYTES is the inside of a
 Python bytes literal; `{n}` stands for any number and `{id}` for two bytes. `program reload TEXT` makes TEXT
-(an object: what it changes) the configuration file and sends SIGHUP; `program logged WORDS` waits for a log
-line. Everything waits for its event, nothing for a time.
+(an object: what it changes) the configuration file and sends SIGHUP; `program service TEXT` does the same
+with the service file; `program logged WORDS` waits for a log line. Everything waits for its event, nothing
+for a time.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -27,6 +29,7 @@
 LISTEN, COORDINATOR, DNS = ("127.77.0.1", 15050), ("127.77.200.1", 17070), ("127.77.0.1", 15353)
 MOVED = ("127.77.200.2", 17070)
 ADMIN = ("127.77.0.1", 18053)
+WAITS = {"service.hcl": "DNS front on", "cells.hcl": "administration API on"}
 TCP = {"client": LISTEN, "tcp": DNS, "admin": ADMIN}
 
 
@@ -38,7 +41,7 @@
 class Exchange:
     """The program with its stand-ins."""
 
-    def __init__(self, folder: Path, hosted: bool = False) -> None:
+    def __init__(self, folder: Path, service: str = "") -> None:
         self.config = json.loads((FOLDER / "config.json").read_text())
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
@@ -49,12 +52,15 @@
         self.path = folder / "config.json"
         self.path.write_text(json.dumps(self.config))
         environment = {**os.environ, "RELAY_CONFIG": str(self.path), "ONYXWICK_SERVICE": str(folder / "none")}
-        if hosted:
-            environment["ONYXWICK_SERVICE"] = str(FOLDER / "service.hcl")
+        if service:
+            for name in (service, "operator.token", "depot.zone"):
+                shutil.copy(FOLDER / name, folder)
+            environment["ONYXWICK_SERVICE"] = str(folder / service)
+        self.service = folder / service
         self.program = subprocess.Popen(
             [sys.executable, "-m", "onyxwick"], cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True
         )
-        self._until("DNS front on" if hosted else "serving")
+        self._until(WAITS.get(service, "serving"))
 
     def _listen(self, address: tuple[str, int]) -> socket.socket:
         sock = socket.create_server(address)
@@ -124,6 +130,9 @@
     def _program(self, what: str, text: str) -> None:
         if what == "logged":
             return self._until(text)
+        if what == "service":
+            self.service.write_text(text.replace("\\n", "\n"))
+            return self.program.send_signal(signal.SIGHUP)
         assert what == "reload"
         new = json.dumps({**self.config, **json.loads(text)}) if text.startswith("{") else text
         self.path.write_text(new)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
@@ -9,9 +11,15 @@
 from onyxwick import interface as i
 from onyxwick.cells import Cell, Conflict, Control, Plan, PlanError, Tenant
 from onyxwick.cells.fleet import Cells
+from onyxwick.cells.holding import Holding
 from onyxwick.cells.model import MoveOrder, Policy
 from onyxwick.cells.moves import LEGAL, IllegalMove, Move, Phase, Signs
 from onyxwick.cells.shown import explain, show
+from onyxwick.core import Core, Order, Outcome
+from onyxwick.core.members import Members
+from onyxwick.counters import Counters
+from onyxwick.net import fastcgi
+from onyxwick.net.front import Client, Front
 from tests.cells import BOXES, SET, CellWorld, plan_of, refusals
 from tests.world import ORIGIN, PARENTS, S, sent
 
@@ -321,3 +329,92 @@
     alone.handle(0, [i.MembersChanged(i.ListKind.FULL, rows)])
     router = alone.units["one"].router
     assert boxes == pytest.approx(sum(router._size(p) for p in router.caches))
+
+
+# ---- the fronts -----------------------------------------------------------------------------------------
+
+
+def test_unread_answers_and_connections_of_one_cell_leave_the_others_theirs() -> None:
+    """Clients that never read fill their own cell's part of the front and no more."""
+    w = CellWorld()
+    holding = Holding(w.cells, most_bytes=1_000_000, most_clients=100)
+    releases = []
+    while not holding.full("a"):
+        releases.append(holding.hold("a", 10_000))
+    assert 490_000 <= sum(holding.bytes.used.values()) <= 520_000 and not holding.full("b")
+    taken = 0
+    while holding.connect("a"):
+        taken += 1
+    assert taken == 50 and all(holding.connect("b") for _ in range(35))
+    w.cells.apply(w.now, plan_of((Cell("a"), Cell("b"), Cell("c"))))
+    assert holding.cell_of("t1") == "a" and holding.cell_of("nobody") is None
+    assert holding.clients.used == {"a": 50.0, "b": 35.0, "c": 0.0}, "what is held stays counted"
+    for release in releases:
+        release()
+    for cell in ["a"] * taken + ["b"] * 35:
+        holding.disconnect(cell)
+    assert not any(holding.bytes.used.values()) and not any(holding.clients.used.values())
+    assert holding.clients.lent == pytest.approx(0) and holding.bytes.lent == pytest.approx(0)
+
+
+def test_a_deaf_client_is_cut_off_within_its_cells_part_and_told_when_to_return() -> None:
+    """On real sockets: answers that nobody reads fill the cell's part; then its requests are refused, while
+    another cell's client is served; and what is cut off gives its part back."""
+
+    class Instant:
+        async def run(self, order: Order) -> Outcome:
+            return Outcome(i.Status.OK, i.Detail.HIT, body=bytes(100_000), tag="t")
+
+    async def play() -> None:
+        plan = plan_of()
+        members, counters = Members(), Counters()
+        core = Core(SET, 7, Instant(), members, counters, decide=lambda s, n, at: Cells(s, n, at, plan, 400))
+        rows = (*BOXES, *PARENTS, ORIGIN)
+        core.list_changed(
+            i.MembersChanged(i.ListKind.FULL, rows), {m.address: ("127.0.0.1", 9) for m in rows}
+        )
+        cells = core.router
+        assert isinstance(cells, Cells)
+        holding = Holding(cells, 2_000_000, 40)
+        front = Front(core, counters, lambda: True, 40, 50_000_000, holding, "X-Tenant")
+        clients = []
+        for tenant, sizes in (("t1", 4096), ("t2", 4_000_000)):
+            ours, theirs = socket.socketpair()
+            for sock in (ours, theirs):
+                sock.setblocking(False)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, sizes)
+            client = Client(front, ours)
+            clients.append((tenant, client, theirs, asyncio.get_running_loop().create_task(client.run())))
+        loop = asyncio.get_running_loop()
+        for n in range(1, 31):
+            await loop.sock_sendall(clients[0][2], call(n, "t1"))
+            while clients[0][1].calls < n or clients[0][1].open:
+                await asyncio.sleep(0)
+        assert counters.counts["answer.cell_full"] > 0 and holding.full("a")
+        await loop.sock_sendall(clients[1][2], call(1, "t2"))
+        got = b""
+        while b"Status: " not in got:
+            got += await loop.sock_recv(clients[1][2], 65_536)
+        assert b"Status: 200 OK" in got
+        for _, _, theirs, task in clients:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            theirs.close()
+        assert holding.bytes.used == {"a": 0.0, "b": 0.0} and holding.clients.used == {"a": 0.0, "b": 0.0}
+
+    asyncio.run(asyncio.wait_for(play(), 20))
+
+
+def call(number: int, tenant: str) -> bytes:
+    params = {
+        "SCRIPT_NAME": "/call/chunk",
+        "HTTP_X_REQUEST_ID": f"{number:015x}{len(tenant) + ord(tenant[-1]) & 15:x}",
+        "HTTP_X_TIMEOUT_MS": "5000",
+        "HTTP_X_OBJECT": f"{number:016x}",
+        "HTTP_X_TENANT": tenant,
+    }
+    pairs = fastcgi.write_pairs({k.encode(): v.encode() for k, v in params.items()})
+    begin = fastcgi.BEGIN_BODY.pack(fastcgi.RESPONDER, 1)
+    kinds = ((fastcgi.Type.BEGIN, begin), (fastcgi.Type.PARAMS, pairs))
+    ends = ((fastcgi.Type.PARAMS, b""), (fastcgi.Type.STDIN, b""))
+    return b"".join(fastcgi.record(kind, number, content) for kind, content in kinds + ends)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from onyxwick.cells import Cell, KeyRange, MoveOrder, Plan, Policy, Tenant
 from onyxwick.config import ConfigError, hcl, service
+from onyxwick.config.cells import json_of_plan, plan_of_json, read_plan
 from onyxwick.config.fields import Fields
 from tests.exchange import FOLDER
 
@@ -143,3 +145,71 @@
     assert run("config", "check", str(FOLDER / "served.txt")) == 2
     assert "served.txt:" in capsys.readouterr().out
     assert run("no-such-command") == 2 and run("--help") == 0
+
+
+NAMES = st.sampled_from(["a", "b", "c"])
+CELLS = st.dictionaries(NAMES, st.builds(lambda w: w, st.floats(0.1, 9)), min_size=1)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(CELLS, st.data())
+def test_a_plan_survives_its_json(cells: dict[str, float], data: st.DataObject) -> None:
+    """What the API shows is what it reads back: an operator edits one row and sends the whole."""
+    some = st.lists(st.sampled_from(sorted(cells)), min_size=1, max_size=3, unique=True).map(tuple)
+    tenants = {
+        name: Tenant(
+            name,
+            data.draw(st.floats(0.1, 5)),
+            1,
+            data.draw(some) if data.draw(st.booleans()) else (),
+            (KeyRange(0, data.draw(st.integers(0, 255)), data.draw(some)),),
+            float(data.draw(st.integers(0, 50))),
+            data.draw(st.integers(0, 50)),
+        )
+        for name in data.draw(st.sets(NAMES))
+    }
+    moves = {
+        name: MoveOrder(f"m{name}", name, data.draw(some), 0, 9, data.draw(st.integers(0, 99)) * 1_000_000)
+        for name in tenants
+    }
+    policy = Policy(
+        "X-Who", None, data.draw(st.integers(0, 9)) * 1_000, data.draw(st.sampled_from([0.0, 0.5]))
+    )
+    rows = {name: Cell(name, (), weight) for name, weight in cells.items()}
+    plan = Plan(rows, tenants, {m.name: m for m in moves.values()}, policy, 4)
+    again = plan_of_json(json.loads(json.dumps(json_of_plan(plan))), 4)
+    assert again.same(plan) and again.version == 4
+
+
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        (
+            'cell "a" {}\ncell "b" { fallback = "c" }',
+            "x.hcl:2: field 'cell b.fallback': there is no cell 'c'",
+        ),
+        ('cell "A" {}', "x.hcl:1: cell A: 'A' is no name of small letters"),
+        (
+            'cell "a" { wieght = 2 }',
+            "x.hcl:1: field 'cell a.wieght': is not known here; did you mean 'weight'?",
+        ),
+        ("cells {}\n", "x.hcl:1: block 'cells' without any block 'cell'"),
+        (
+            'cell "a" {}\ntenant "t" {\n  ranges = { "80-7f" = "a" }\n}',
+            "x.hcl:3: field 'tenant t.ranges': '80-7f' ends before it begins; did you mean 7f-80?",
+        ),
+        (
+            'cell "a" {}\ntenant "t" {}\nmove "m" {\n  tenant = "t"\n  to = ["a"]\n  warm = 20\n}',
+            "x.hcl:6: field 'move m.warm': 20 has no unit",
+        ),
+        (
+            'cell "a" {}\ncells { reserved = 70 }',
+            "x.hcl:2: field 'cells.reserved': a share lies between 0 and 1",
+        ),
+        ('cell "a" {}\ncells { default_tenant = "x" }', "x.hcl:2: field 'cells.default_tenant': there is no"),
+    ],
+)
+def test_a_slip_in_a_plan_is_told_with_its_line(text: str, wanted: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        read_plan(Fields(hcl.parse(text, "x.hcl"), "x.hcl"))
+    assert str(error.value).startswith(wanted)
--- a/tests/test_dns_routing.py
+++ b/tests/test_dns_routing.py
@@ -15,6 +15,7 @@
 
 from onyxwick import Router
 from onyxwick import interface as i
+from onyxwick.cells import Cell, Cells, Plan, Tenant
 from onyxwick.config.service import load
 from onyxwick.core import Core
 from onyxwick.core.members import Members
@@ -32,9 +33,9 @@
 class Depot:
     """A core with the DNS front before it, and boxes that count when they are asked."""
 
-    def __init__(self) -> None:
+    def __init__(self, decide: Callable[[i.Settings, int, int], i.Decider] = Router) -> None:
         self.members, self.counters = Members(), Counters()
-        self.core = Core(SETTINGS, 7, Naming(), self.members, self.counters)
+        self.core = Core(SETTINGS, 7, Naming(), self.members, self.counters, decide=decide)
         config = load(FOLDER / "service.hcl")
         self.front = DnsFront(self.core, self.counters, config)
         self.asked: dict[str, list[float]] = {box: [] for box in BOXES}
@@ -188,3 +189,24 @@
         assert (await ask(foreign)).rcode() == dns.rcode.REFUSED
 
     play(scene)
+
+
+def test_names_go_through_cells_too() -> None:
+    """A tenant's names lead to its own cell's boxes, at any load, and leave nothing open behind them."""
+    plan = Plan(
+        {"a": Cell("a", ("c0",)), "b": Cell("b", ("c1", "c2"))}, {"depot": Tenant("depot", cells=("a",))}
+    )
+
+    async def scene(depot: Depot) -> None:
+        resolver = Resolver()
+        for part in range(40):
+            await client(resolver, part)
+        assert {address for _, address in resolver.named} == {BOXES["c0"][0]}
+        cells = depot.core.router
+        assert isinstance(cells, Cells)
+        assert not cells.requests and cells.units["a"].open == 0
+
+    async def main() -> None:
+        await Depot(lambda s, seed, now: Cells(s, seed, now, plan, 400)).run(scene)
+
+    asyncio.run(main())
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -17,7 +18,8 @@
 
 @pytest.mark.parametrize("name", NAMES)
 def test_exchange(name: str, tmp_path: Path) -> None:
-    exchange = Exchange(tmp_path, hosted=name.startswith(("dns_", "admin")))
+    services = {"dns": "service.hcl", "admin": "service.hcl", "cells": "cells.hcl"}
+    exchange = Exchange(tmp_path, services.get(re.split("[_.]", name)[0], ""))
     try:
         exchange.play(name)
     finally:
