--- a/onyxwick/cells/fleet.py
+++ b/onyxwick/cells/fleet.py
@@ -44,6 +44,7 @@
         self.moves: dict[str, Move] = {}
         self.of_tenant: dict[str, list[Move]] = {}
         self.counts: dict[str, int] = {}
+        self.shed_now: dict[str, str] = {}  # refused by the last `handle` before any router saw it, and why
         self.out: list[i.Action] = []
         self.arbiter = Arbiter(self._weights(), settings.rules.overload_window_us + TICK_US)
         self.ticks = 0
@@ -56,6 +57,7 @@
     def handle(self, now: int, events: list[i.Event]) -> list[i.Action]:
         """The events of one instant, each told to the cells that it is for; their actions."""
         self.now = self.admission.now = now
+        self.shed_now.clear()
         for event in events:
             match event:
                 case i.RequestArrived():
@@ -148,6 +150,7 @@
     def _shed(self, ask: i.RequestArrived, tenant: Tenant, reason: str, wait_us: int) -> None:
         """Refused before any router saw it: at once, and with a time to return where the settings allow."""
         self._count(f"shed.{reason}.{tenant.name}")
+        self.shed_now[ask.request] = reason
         self.out.append(i.Refuse(ask.request, self.admission.retry_after_us(wait_us)))
 
     def targets(self, tenant: str, name: str) -> tuple[str, ...]:
--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -60,8 +60,11 @@
 @click.option("--cells/--no-cells", default=True, show_default=True)
 @click.option("--fault", help="The way to misbehave that is played; none without it.")
 @click.option("--slot", type=click.IntRange(0, 99), default=0, help="Keeps apart what runs at once.")
+@click.option("--trace", type=click.Path(path_type=Path), help="A folder for the directors' traces.")
 @click.option("--program", type=click.Path(path_type=Path), help="The tree of another revision.")
-def play(file: Path, seed: int, cells: bool, fault: str | None, slot: int, program: Path | None) -> None:
+def play(
+    file: Path, seed: int, cells: bool, fault: str | None, slot: int, trace: Path | None, program: Path | None
+) -> None:
     """Play one variant of the scenario FILE once; its report as JSON, exit 1 where a rule broke."""
     import uvloop
 
@@ -74,7 +77,7 @@
 
     async def once() -> dict[str, Any]:
         run = Run(scenario, seed, cells, fault, slot)
-        run.program = program
+        run.program, run.trace = program, trace
         return await run.play()
 
     report = uvloop.run(once())
--- a/onyxwick/config/service.py
+++ b/onyxwick/config/service.py
@@ -32,6 +32,19 @@
     admin: Address | None = None
     token: str = ""
     plan: Plan | None = None  # of cells; None: one router for all
+    trace: TraceConfig | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TraceConfig:
+    """Where a trace is written, and how much of it is kept. `on`: from the start; else by SIGUSR2."""
+
+    folder: Path
+    on: bool
+    for_us: int  # how long SIGUSR2 switches it on
+    file_bytes: int
+    file_us: int
+    total_bytes: int
 
 
 def _tenant(row: Fields, folder: Path, tenants: Tenants) -> None:
@@ -61,6 +74,23 @@
     return token
 
 
+def _trace(row: Fields, folder: Path) -> TraceConfig:
+    out = TraceConfig(
+        folder / row.text("folder"),
+        row.flag("on", False),
+        row.duration("signal_for", 1_000_000, 86_400_000_000, 60_000_000),
+        row.whole("file_mb", 1, 4096, 64) << 20,
+        row.duration("file_for", 1_000_000, 86_400_000_000, 3_600_000_000),
+        row.whole("total_mb", 2, 1_000_000, 1024) << 20,
+    )
+    if out.total_bytes < 2 * out.file_bytes:
+        raise row.error(
+            "total_mb", f"holds no two files of {out.file_bytes >> 20} MB; did you mean 'file_mb'?"
+        )
+    row.done()
+    return out
+
+
 def read(top: Fields, folder: Path) -> ServiceConfig:
     out = ServiceConfig(Tenants())
     tenant_of_plan: Callable[[Fields], CellTenant] | None = None
@@ -72,6 +102,8 @@
         out.admin = admin.address("listen", loopback=True)
         out.token = _token(admin, folder)
         admin.done()
+    if row := top.block_of("trace"):
+        out.trace = _trace(row, folder)
     if any(block.type in CELL_BLOCKS for block in top.block.blocks):
         from onyxwick.config.cells import read_plan, tenant
 
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import TYPE_CHECKING
 
 from onyxwick import interface as i
 from onyxwick import logs
@@ -16,6 +17,9 @@
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
 
+if TYPE_CHECKING:
+    from onyxwick.trace.watch import Watch
+
 log = logs.get()
 OVERDUE_US = 20_000  # past its deadline a request is answered even if the module forgot it
 RETRY_TIMER_S = 0.1  # after an error on a timer the module is woken again
@@ -32,6 +36,7 @@
     number: int
     outcome: Outcome
     latency_us: int
+    sent_us: int = 0
 
 
 @dataclass(slots=True)
@@ -96,6 +101,7 @@
         self.settings, self.transport, self.members, self.counters = settings, transport, members, counters
         self.clock, self.most_open = clock, most_open
         self.latest = clock()
+        self.watch: Watch | None = None  # writes a trace, where one is wanted
         self.lives: dict[str, Life] = {}
         self.idle = asyncio.Event()
         self.idle.set()
@@ -112,7 +118,12 @@
     # ---- events in, actions out -------------------------------------------------------------------------
 
     def tell(self, *events: i.Event) -> None:
-        for action in self.router.handle(self.now(), list(events)):
+        now, watch = self.now(), self.watch
+        jobs = watch.before(self.router, events) if watch is not None else None
+        actions = self.router.handle(now, list(events))
+        if watch is not None and jobs is not None:
+            watch.after(now, self.router, events, actions, jobs)
+        for action in actions:
             if isinstance(action, i.SetTimer):
                 delay = max(0, action.at_us - self.now()) / 1e6
                 asyncio.get_running_loop().call_later(delay, self._timer, action.at_us, action.token)
@@ -191,6 +202,8 @@
             if answer is not None and not life.gone:
                 self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
                 reply(answer)
+            if self.watch is not None:
+                self.watch.answered(self.now(), request.id, None if life.gone else answer)
             await self._wind_up(life)
         finally:
             del self.lives[request.id]
@@ -283,7 +296,7 @@
         life.attempts.append(task)
         self.counters.add("attempt.sent")
         # Not an await around `run`: a task cancelled before its first step would leave no outcome.
-        task.add_done_callback(partial(self._ended, life, order.member, number, begun))
+        task.add_done_callback(partial(self._ended, life, order, number, begun))
 
     def _order(self, request: Request, action: i.Attempt | i.Fetch) -> Order:
         decided, left = self.now(), request.arrived_us + request.timeout_us - self.now()
@@ -309,7 +322,7 @@
         if 0 <= number < len(life.attempts) and (task := life.attempts[number]):
             task.cancel()
 
-    def _ended(self, life: Life, member: str, number: int, begun: int, task: asyncio.Task[Outcome]) -> None:
+    def _ended(self, life: Life, order: Order, number: int, begun: int, task: asyncio.Task[Outcome]) -> None:
         life.attempts[number] = None
         if task.cancelled():
             outcome = Outcome(i.Status.CANCELLED)
@@ -319,23 +332,24 @@
             outcome = Outcome(i.Status.ERROR)
         else:
             outcome = task.result()
-        life.mailbox.put(Ended(member, number, outcome, self.now() - begun))
+        life.mailbox.put(Ended(order.member, number, outcome, self.now() - begun, order.sent_us))
 
     def _report(self, life: Life, ended: Ended) -> None:
         outcome = ended.outcome
         # What nobody saw the end of is told as a cancelled attempt: it may have run, and teaches nothing.
         status = i.Status.CANCELLED if outcome.untold else outcome.status
         self.counters.add(f"outcome.{status.value}")
-        self.tell(
-            i.AttemptEnded(
-                request=life.request.id,
-                attempt=ended.number,
-                member=ended.member,
-                status=status,
-                latency_us=ended.latency_us,
-                final=outcome.status is i.Status.OK,
-                detail=outcome.detail,
-                waited_us=outcome.waited_us,
-                report=outcome.report,
-            )
+        event = i.AttemptEnded(
+            request=life.request.id,
+            attempt=ended.number,
+            member=ended.member,
+            status=status,
+            latency_us=ended.latency_us,
+            final=outcome.status is i.Status.OK,
+            detail=outcome.detail,
+            waited_us=outcome.waited_us,
+            report=outcome.report,
         )
+        if self.watch is not None:
+            self.watch.ended(self.now(), event, ended.sent_us, outcome)
+        self.tell(event)
--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -59,6 +59,7 @@
     alone: bool = False  # must not run twice: it is to share its fate with no other attempt
     still_good: Callable[[], bool] = field(default=lambda: True, compare=False)
     """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
+    sent_us: int = 0  # Unix us at which its first byte went out, once the transport knows; 0: not sent
 
 
 @dataclass(slots=True)
@@ -70,6 +71,7 @@
     body: bytes = b""
     tag: str = ""
     unchanged: bool = False
+    dated_us: int = 0  # Unix us at which the origin gave the copy out; 0: not told
     untold: bool = False  # nobody saw how it ended: the module must learn nothing from it
 
 
--- a/onyxwick/lab/play.py
+++ b/onyxwick/lab/play.py
@@ -105,6 +105,7 @@
         self.scenario, self.seed, self.misbehaves = scenario, seed, misbehaves
         self.service = scenario.service if cells else None
         self.base = f"127.{100 + slot}"
+        self.trace: Path | None = None  # a folder for the directors' traces
         self.program: Path | None = None  # the tree of another revision whose director is played
         self.world = World(scenario.classes, unix_us, GROUPS)
         self.coordinator = Coordinator((f"{self.base}.9.1", 7070))
@@ -175,7 +176,7 @@
             "seed": f"{self.seed * 1000 + n:x}",
             "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024},
             "coordinator": f"{self.coordinator.address[0]}:{self.coordinator.address[1]}",
-            "known": {"index": self.index, "updates": [self.first]},
+            "known": {"index": self.index, "updates": [json.loads(e) for e in self.coordinator.events]},
             "settings": {**settings(self.scenario), "self_index": n},
         }
         path = self.folder / f"director-{n}.json"
@@ -302,6 +303,9 @@
         self._fill_stores()
         if self.service:
             shutil.copy(self.service, self._service_file())
+        if self.trace is not None:
+            with self._service_file().open("a") as out:
+                out.write(f'\ntrace {{\n  folder = "{self.trace.resolve()}"\n  on = true\n}}\n')
         await self.coordinator.listen()
         for machine in self.world.machines.values():
             await machine.listen()
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -33,11 +33,12 @@
     from onyxwick.admin.http import HttpServer
     from onyxwick.cells import Cells, Plan
     from onyxwick.cells.holding import Holding
-    from onyxwick.config.service import ServiceConfig
+    from onyxwick.config.service import ServiceConfig, TraceConfig
     from onyxwick.dns.server import DnsFront
 
 log = logs.get()
 SERVICE_FILE = Path(__file__).parents[1] / "deploy" / "service.hcl"
+TRACE_TICK_S = 0.25
 LINGER_S = 0.75  # after SIGTERM connections and requests still come for so long
 
 GC_EVERY = 20_000  # new objects between collections of the young
@@ -161,6 +162,8 @@
                 loop.create_task(self._collect()),
             ]
             side += [loop.create_task(front.run()) for front in self._hosted()]
+            if self.service is not None and self.service.trace is not None:
+                side.append(loop.create_task(self._trace(self.service.trace)))
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
             gc.collect()  # else what imports have left would be kept for good
             gc.freeze()  # what lives from the start need not be looked through again
@@ -175,6 +178,43 @@
         self._enter(State.STOPPED)
         self.print_counters()
 
+    async def _trace(self, told: TraceConfig) -> None:
+        """Write a trace while it is wanted: always, or for a while from each SIGUSR2 on."""
+        from onyxwick.trace.sink import Bounds
+        from onyxwick.trace.watch import Watch
+
+        loop, bounds = (
+            asyncio.get_running_loop(),
+            Bounds(told.file_bytes, told.file_us / 1e6, told.total_bytes),
+        )
+        until = float("inf") if told.on else 0.0
+
+        def wanted() -> None:
+            nonlocal until
+            until = max(until, loop.time() + told.for_us / 1e6)
+
+        loop.add_signal_handler(signal.SIGUSR2, wanted)
+        core = self.core
+        try:
+            while True:
+                if core.watch is None and loop.time() < until:
+                    now = core.now()
+                    core.watch = Watch(core.settings, self.config.name, told.folder, bounds, now)
+                    core.watch.listed(now, self.members.listed.values())
+                    log.info("trace begun", folder=str(told.folder))
+                elif core.watch is not None and loop.time() >= until:
+                    self._end_trace()
+                await asyncio.sleep(TRACE_TICK_S)
+                if core.watch is not None:
+                    core.watch.tick(core.now())
+        finally:
+            self._end_trace()
+
+    def _end_trace(self) -> None:
+        watch, self.core.watch = self.core.watch, None
+        if watch is not None:
+            watch.stop(self.core.now())
+
     async def _collect(self) -> None:
         while True:
             await asyncio.sleep(GC_ALL_S)
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -95,6 +95,7 @@
         waited = int(float(told.get("first") or 0) * 1000)
         load = dict(pair.partition(":")[::2] for pair in told.get("load", "").split(";") if pair)
         report = tuple(float(load.get(name) or 0) for name in report_names) if load else ()
+        dated = int(told.get("dated") or 0) * 1000
     except (ValueError, OverflowError):
         raise resp.RespError(f"bad fields {text[:64]!r}") from None
     return Outcome(
@@ -105,6 +106,7 @@
         body,
         told.get("digest", ""),
         word == b"unchanged",
+        dated,
     )
 
 
@@ -303,6 +305,8 @@
             raise
         finally:
             limit.cancel()
+            if call.parcel.begun_at:
+                order.sent_us = time.time_ns() // 1000 - int((time.monotonic() - call.parcel.begun_at) * 1e6)
 
     def _link(self, order: Order, address: tuple[str, int]) -> Link:
         """An unused connection, a new one, or the least used."""
--- a/onyxwick/net/outbox.py
+++ b/onyxwick/net/outbox.py
@@ -20,7 +20,7 @@
 class Parcel:
     """Bytes to be written as one. `check` is asked right before the first of them."""
 
-    __slots__ = ("check", "data", "dropped", "progress", "release")
+    __slots__ = ("begun_at", "check", "data", "dropped", "progress", "release")
 
     def __init__(
         self,
@@ -30,6 +30,7 @@
         release: Callable[[], None] | None = None,
     ) -> None:
         self.data, self.check, self.dropped = data, check, dropped
+        self.begun_at = 0.0  # monotonic seconds at which its first byte was written
         self.release = release  # called once, when its bytes are held no more
         self.progress = Progress.WAITING
 
@@ -107,7 +108,7 @@
 
     def _batch(self) -> list[Parcel]:
         """The parcels that go out now, each one checked at this moment."""
-        batch, size = list[Parcel](), 0
+        batch, size, now = list[Parcel](), 0, time.monotonic()
         while self.queue and size < self.SLICE:
             parcel = self.queue.popleft()
             if parcel.check is not None and not parcel.check():
@@ -115,7 +116,7 @@
                 if parcel.dropped:
                     parcel.dropped()
                 continue
-            parcel.progress = Progress.BEGUN
+            parcel.progress, parcel.begun_at = Progress.BEGUN, now
             size += len(parcel.data)
             batch.append(parcel)
         return batch
--- /dev/null
+++ b/onyxwick/trace/watch.py
@@ -0,0 +1,240 @@
+"""Between a core and its recorder: what the core tells and is told, as records. A fault here ends the trace
+and nothing else."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from onyxwick import interface as i
+from onyxwick import logs
+from onyxwick.core.model import Answer, Outcome, Verdict
+from onyxwick.logic import Router
+from onyxwick.trace import format as f
+from onyxwick.trace import why
+from onyxwick.trace.model import MAJOR, MINOR, Told, Why
+from onyxwick.trace.model import Verdict as Final
+from onyxwick.trace.recorder import Recorder, number
+from onyxwick.trace.sink import Bounds, Sink
+
+if TYPE_CHECKING:
+    from onyxwick.cells import Cells
+
+log = logs.get()
+CLOCK_US = 1_000_000  # between two records of both clocks
+FINALS = {Verdict.SERVED: Final.SERVED, Verdict.REFUSED: Final.REFUSED, Verdict.FAILED: Final.FAILED}
+
+
+def header_of(settings: i.Settings, director: str, unix_us: int, mono_us: int) -> f.Header:
+    """What a reader must know to judge: classes with worth and aims, the rules' figures."""
+    r = settings.rules
+    classes: list[dict[str, Any]] = [
+        {
+            "name": c.name,
+            "worth": c.worth,
+            "late_worth": c.late_worth,
+            "aim_us": c.aim_us,
+            "stretch": c.aim_stretch,
+            "deadline_us": c.deadline_us,
+            "once": c.repeat is i.Repeat.UNSAFE,
+            "write": c.write,
+            "fresh_us": c.lifetime_us,
+        }
+        for c in settings.classes
+    ]
+    rules = {
+        "drain_grace_us": r.drain_grace_us,
+        "purge_grace_us": r.purge_grace_us,
+        "cold_start": r.cold_start,
+        "cold_us": r.cold_us,
+        "overload_multiple": r.overload_multiple,
+        "overload_window_us": r.overload_window_us,
+        "parent_cold_start": r.parent_cold_start,
+        "parent_cold_us": r.parent_cold_us,
+        "parent_overload_multiple": r.parent_overload_multiple,
+    }
+    figures = {name: float(value) for name, value in rules.items()}
+    return f.Header((MAJOR, MINOR), director, secrets.token_hex(8), unix_us, mono_us, classes, figures)
+
+
+def _mono_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Watch:
+    """What a core calls while a trace is written. Every call is bounded and none raises."""
+
+    def __init__(
+        self,
+        settings: i.Settings,
+        director: str,
+        folder: Path,
+        bounds: Bounds,
+        now: int,
+        mono: Callable[[], int] = _mono_us,
+    ) -> None:
+        self.mono = mono
+        self.sink = Sink(folder, header_of(settings, director, now, mono()), bounds)
+        once = frozenset(c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE)
+        self.recorder = Recorder(now, self.sink.take, once)
+        self.broken = False
+        self.clock_at = now
+        self.sink.start()
+        self.recorder.told(now, Told.START, {})
+        self._clock(now)
+
+    def _clock(self, now: int) -> None:
+        self.clock_at = now
+        self.recorder.told(now, Told.CLOCK, {"mono_us": self.mono()})
+
+    def listed(self, now: int, members: Iterable[i.Member]) -> None:
+        """The list as it is known when the trace begins."""
+        self._event(now, None, i.MembersChanged(i.ListKind.CACHED, tuple(members)))
+
+    def _fault(self) -> None:
+        """An error of the trace is the trace's alone: it ends, the director goes on."""
+        self.broken = True
+        log.exception("the trace ends for an error of its own")
+
+    # ---- around the module ------------------------------------------------------------------------------
+
+    def before(self, decider: i.Decider, events: tuple[i.Event, ...]) -> dict[str, Any]:
+        """Jobs that the module may close while it handles these events."""
+        out: dict[str, Any] = {}
+        for event in events:
+            request = getattr(event, "request", None)
+            if request is not None and (router := _router_of(decider, request)) is not None:
+                out[request] = router.jobs.get(request)
+        return out
+
+    def after(
+        self,
+        now: int,
+        decider: i.Decider,
+        events: tuple[i.Event, ...],
+        actions: list[i.Action],
+        jobs: dict[str, Any],
+    ) -> None:
+        if self.broken:
+            return
+        try:
+            for event in events:
+                self._event(now, decider, event)
+            for action in actions:
+                self._action(now, decider, action, jobs)
+        except Exception:
+            self._fault()
+
+    def _event(self, now: int, decider: i.Decider | None, event: i.Event) -> None:
+        match event:
+            case i.RequestArrived():
+                self.recorder.arrived(now, event, _cell_of(decider, event.request))
+            case i.MembersChanged() if event.kind is not i.ListKind.FAILED:
+                rows = [
+                    [m.address, m.zone, m.kind, m.state.value, m.weight, m.since_us] for m in event.members
+                ]
+                full = event.kind is not i.ListKind.CHANGE
+                self.recorder.told(now, Told.LIST, {"members": rows, "full": full, "version": event.version})
+            case i.Purged(group, name, age):
+                told = {
+                    "group": group,
+                    "object": None if name is None else number(name),
+                    "unix_us": now - age,
+                }
+                self.recorder.told(now, Told.PURGE, told)
+
+    def _action(self, now: int, decider: i.Decider, action: i.Action, jobs: dict[str, Any]) -> None:
+        match action:
+            case i.Attempt() | i.Fetch():
+                router = _router_of(decider, action.request)
+                if router is not None:
+                    self.recorder.decided(now, action, why.belief(router, action))
+                    self.recorder.note_once(now, action.request, action.member)
+            case i.Cancel(request, attempt):
+                self.recorder.cancelled(now, request, attempt)
+            case i.Refuse(request=request) | i.Fail(request=request):
+                self._ending(now, decider, request, jobs)
+
+    def _ending(self, now: int, decider: i.Decider, request: str, jobs: dict[str, Any]) -> None:
+        """The cause of a refusal is noted where it was decided; the answer itself comes by `answered`."""
+        story = self.recorder.stories.get(request)
+        if story is None:
+            return
+        router = _router_of(decider, request)
+        job = jobs.get(request) or (router.jobs.get(request) if router is not None else None)
+        if router is None:
+            shed = request in getattr(decider, "shed_now", ())
+            story.why = Why.SHED if shed else Why.NO_BOX
+        elif job is None and not story.tries:
+            story.why = Why.NO_BOX
+        else:
+            story.why = why.ending(router, job, now)
+
+    # ---- around attempts and answers --------------------------------------------------------------------
+
+    def ended(self, now: int, event: i.AttemptEnded, sent_us: int, outcome: Outcome) -> None:
+        if self.broken:
+            return
+        try:
+            if sent_us:
+                self.recorder.sent(event.request, event.attempt, sent_us)
+            status = outcome.status
+            told = event if event.status is status else replace(event, status=status)
+            self.recorder.ended(now, told, outcome.dated_us)
+        except Exception:
+            self._fault()
+
+    def answered(self, now: int, request: str, answer: Answer | None) -> None:
+        """The one final answer, or None where the client left before it."""
+        if self.broken:
+            return
+        try:
+            if answer is None:
+                return self.recorder.finished(now, request, Final.LEFT, Why.CLIENT_LEFT, 0, 0)
+            served = answer.verdict is Verdict.SERVED
+            story = self.recorder.stories.get(request)
+            cause = Why.ANSWERED if served else Why(story.why) if story is not None else Why.UNKNOWN
+            final, size = FINALS[answer.verdict], len(answer.body)
+            self.recorder.finished(now, request, final, cause, answer.retry_after_us, size)
+        except Exception:
+            self._fault()
+
+    def tick(self, now: int) -> None:
+        """Some times a second."""
+        if self.broken:
+            return
+        try:
+            if now - self.clock_at >= CLOCK_US:
+                self._clock(now)
+            self.recorder.tick(now)
+        except Exception:
+            self._fault()
+
+    def stop(self, now: int) -> None:
+        if not self.broken:
+            self.recorder.finish(now)
+        self.sink.stop()
+        counts = self.sink.counts
+        log.info(
+            "trace ended", blocks=counts.blocks, bytes=counts.bytes, lost_requests=counts.lost_requests,
+            dropped=self.recorder.dropped, errors=counts.errors[-1:],
+        )  # fmt: skip
+
+
+def _router_of(decider: i.Decider, request: str) -> Router | None:
+    if isinstance(decider, Router):
+        return decider
+    cells: Cells = decider  # type: ignore[assignment]
+    home = cells.requests.get(request)
+    return cells.units[home.cell].router if home is not None else None
+
+
+def _cell_of(decider: i.Decider | None, request: str) -> str:
+    if decider is None or isinstance(decider, Router):
+        return ""
+    home = decider.requests.get(request)  # type: ignore[attr-defined]
+    return home.cell if home is not None else ""
