--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -400,7 +400,7 @@
         lives["verdict"][:], lives["attempts"][:] = 1, 1
         lives["class"][:] = strings.number("site-video")
         lives["director"][:] = strings.number("n0")
-            attempts = {name: np.zeros(count, np.int64) for name in ATTEMPTS}
+        attempts = {name: np.zeros(count, np.int64) for name in ATTEMPTS}
         attempts["member"][:] = strings.number("box-1")
         judge = Audit(header, told)
         judge.add(Table(lives, attempts, strings))
