--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,352 @@
+"""The store under crashes: every cut, every flip, every call, any order; and what was planted is caught."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from onyxwick.store import (
+    Busy,
+    Conflict,
+    Engine,
+    Failed,
+    Full,
+    Limits,
+    Op,
+    Refused,
+    StoreError,
+    Transaction,
+)
+from onyxwick.store import records as r
+from onyxwick.store.files import Disk
+from tests.faulty_files import Crash, FaultyFiles
+
+SMALL = Limits(segment=700, log=2000, total=1 << 20)
+State = dict[str, bytes]
+
+
+def put(key: str, value: bytes | None, version: int = -1) -> Transaction:
+    return Transaction((Op(key, value, version),), "test", 1)
+
+
+def content(engine: Engine) -> State:
+    return dict(engine.scan())
+
+
+def filled(files: FaultyFiles, count: int = 30, compact_at: int = -1) -> list[State]:
+    """A store with some changes; its content after each of them."""
+    engine = Engine(files, SMALL)
+    states = [content(engine)]
+    for n in range(count):
+        ops = [Op(f"key-{n % 7}", b"v%d" % n * 3), Op(f"other-{n % 3}", None if n % 5 == 4 else b"x%d" % n)]
+        engine.commit(Transaction(tuple(ops), "test", n))
+        states.append(content(engine))
+        if n == compact_at:
+            engine.compact()
+    engine.close()
+    return states
+
+
+# ---- what it does ---------------------------------------------------------------------------------------
+
+
+def test_transactions_are_whole_and_versions_guard_them() -> None:
+    engine = Engine(FaultyFiles())
+    engine.commit(put("a", b"1", 0))
+    with pytest.raises(Conflict, match="'b' has version 0, not 3"):
+        engine.commit(Transaction((Op("a", b"2", 1), Op("b", b"1", 3))))
+    assert content(engine) == {"a": b"1"} and engine.version("a") == 1
+    batch, errors = engine.prepare([put("a", b"2", 1), put("a", b"3", 1), put("a", b"4", 2)])
+    assert [type(e) for e in errors] == [type(None), Conflict, type(None)], "one batch, each by itself"
+    engine.write(batch)
+    engine.finish(batch)
+    assert engine.get("a") == b"4" and engine.version("a") == 3
+    with pytest.raises(StoreError, match="stands twice"):
+        engine.commit(Transaction((Op("a", b"1"), Op("a", b"2"))))
+
+
+def test_snapshots_hold_while_writers_go_on() -> None:
+    engine = Engine(FaultyFiles(), SMALL)
+    for n in range(10):
+        engine.commit(put(f"k{n}", b"old"))
+    with engine.snapshot() as view, engine.snapshot() as again:
+        for n in range(0, 10, 2):
+            engine.commit(put(f"k{n}", None if n % 4 else b"new"))
+        engine.commit(put("k99", b"new"))
+        engine.compact()
+        assert dict(view.scan("k")) == dict(again.scan("k")) == {f"k{n}": b"old" for n in range(10)}
+        with engine.snapshot() as later:
+            assert later.get("k99") == b"new" and later.get("k2") is None and later.get("k1") == b"old"
+    assert not engine.older and not engine.snapshots
+    assert [k for k, _ in engine.scan("k9")] == ["k9", "k99"]
+
+
+def test_a_bound_on_size_refuses_growth_and_allows_deletion() -> None:
+    engine = Engine(FaultyFiles(), Limits(segment=500, log=1000, total=3000))
+    with pytest.raises(Full, match=r"of 3000"):
+        for n in range(100):
+            engine.commit(put(f"k{n}", bytes(100)))
+    for n in range(12):
+        engine.commit(put(f"k{n}", None))
+    assert engine.compact() and engine.size() < 2500
+    engine.commit(put("again", bytes(100)))
+
+
+def test_another_process_and_another_installation_are_kept_out(tmp_path: Path) -> None:
+    engine = Engine(Disk(tmp_path), store=b"installation-one")
+    engine.commit(put("a", b"1"))
+    with pytest.raises(Busy):
+        Engine(Disk(tmp_path))
+    engine.close()
+    with pytest.raises(Refused, match="another installation"):
+        Engine(Disk(tmp_path), store=b"installation-two")
+    again = Engine(Disk(tmp_path), store=b"installation-one")
+    assert content(again) == {"a": b"1"}
+    again.compact()
+    again.close()
+    assert content(Engine(Disk(tmp_path))) == {"a": b"1"}
+
+
+# ---- cuts and flips -------------------------------------------------------------------------------------
+
+
+def _opened(files: FaultyFiles) -> State | None:
+    """The content, or None where the store refuses. Nothing else may come of it."""
+    try:
+        return content(Engine(files, SMALL))
+    except Refused as error:
+        assert len(str(error)) > 20, "it says what may be lost"
+        return None
+
+
+@pytest.mark.parametrize("compact_at", [-1, 17])
+def test_files_cut_at_every_byte_forget_nothing_in_silence(compact_at: int) -> None:
+    files = FaultyFiles()
+    last = filled(files, compact_at=compact_at)[-1]
+    tried = refused = 0
+    for name in files.names():
+        for size in range(len(files.read(name))):
+            cut = files.copy()
+            del cut.entries[name].now[size:]
+            found = _opened(cut)
+            assert found in (None, last), (name, size)
+            tried, refused = tried + 1, refused + (found is None)
+        gone = files.copy()
+        del gone.entries[name]
+        assert _opened(gone) in (None, last), name
+    assert tried > 2000 and 0.05 < refused / tried < 1
+
+
+@pytest.mark.parametrize("compact_at", [-1, 17])
+def test_a_flipped_bit_at_every_byte_forgets_nothing_in_silence(compact_at: int) -> None:
+    files = FaultyFiles()
+    last, tried, rng = filled(files, 20, compact_at)[-1], 0, random.Random(3)
+    for name in files.names():
+        for at in range(len(files.read(name))):
+            flipped = files.copy()
+            flipped.entries[name].now[at] ^= 1 << rng.randrange(8)
+            assert _opened(flipped) in (None, last), (name, at)
+            tried += 1
+    assert tried > 1500
+
+
+# ---- crashes --------------------------------------------------------------------------------------------
+
+
+def _run(files: FaultyFiles, acknowledged: list[State], ignored: str = "") -> None:
+    """Some work with a compaction in the middle; `acknowledged` grows with what was promised, and its last
+    one is what is being attempted."""
+    if ignored:
+        files.ignored.add(ignored)
+    engine = Engine(files, SMALL)
+    state: State = {}
+    for n in range(14):
+        new = state | {f"k{n % 5}": b"value %d" % n * 20}
+        acknowledged.append(new)
+        engine.commit(put(f"k{n % 5}", new[f"k{n % 5}"]))
+        state = new
+        acknowledged.append(state)
+        if n == 8:
+            while not engine.compact(lambda: False):
+                state = state | {"during": b"compaction"}
+                acknowledged.append(state)
+                engine.commit(put("during", b"compaction"))
+                acknowledged.append(state)
+    engine.close()
+
+
+def _survives(files: FaultyFiles, rng: random.Random, before: list[State]) -> bool:
+    """After a crash: the last that was acknowledged is there, or what was being attempted is, whole."""
+    found = content(Engine(files.after_crash(rng), SMALL))
+    return found in (before[-2:] if len(before) > 1 else [{}, *before])
+
+
+def test_a_crash_at_every_call_with_writes_in_any_order_loses_nothing_that_was_acknowledged() -> None:
+    whole = FaultyFiles()
+    _run(whole, [])
+    tried = 0
+    for at in range(1, whole.calls + 1):
+        for seed in range(12):
+            files, before = FaultyFiles(), list[State]()
+            files.crash_at = at
+            with pytest.raises(Crash):
+                _run(files, before)
+            assert _survives(files, random.Random(seed), before or [{}]), (at, seed, files.log[-1])
+            tried += 1
+    assert tried == 12 * whole.calls > 800
+
+
+@pytest.mark.parametrize("bug", ["sync", "sync_folder"])
+def test_planted_bugs_are_caught(bug: str) -> None:
+    """An acknowledgement before the sync; a compaction without the folder's."""
+    whole = FaultyFiles()
+    _run(whole, [], bug)
+    caught = 0
+    for at in range(1, whole.calls + 1):
+        files, before = FaultyFiles(), list[State]()
+        files.crash_at = at
+        with pytest.raises(Crash):
+            _run(files, before, bug)
+        try:
+            caught += not _survives(files, random.Random(at), before or [{}])
+        except Refused:
+            caught += 1
+    assert caught > 0
+
+
+def test_a_checksum_that_covers_less_than_the_length_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    import crc32c
+
+    monkeypatch.setattr(r, "_check", lambda number, payload: crc32c.crc32c(payload[:16]))
+    files = FaultyFiles()
+    last = filled(files, 12)[-1]
+    found = []
+    for name in [n for n in files.names() if n.startswith("log-")]:
+        for at in range(len(files.read(name))):
+            flipped = files.copy()
+            flipped.entries[name].now[at] ^= 1
+            try:
+                found.append(content(Engine(flipped, SMALL)))
+            except Refused:
+                continue
+    assert any(state != last for state in found)
+
+
+def test_crashes_while_recovering_and_again_lose_nothing() -> None:
+    for seed in range(60):
+        rng = random.Random(seed)
+        files, before = FaultyFiles(), list[State]()
+        files.crash_at = rng.randrange(5, 70)
+        with pytest.raises(Crash):
+            _run(files, before)
+        for _ in range(3):
+            files = files.after_crash(rng)
+            files.crash_at = rng.randrange(1, 4)
+            try:
+                Engine(files, SMALL)
+            except Crash:
+                continue
+        assert _survives(files, rng, before or [{}]), seed
+
+
+# ---- disks that fail ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("call", ["sync", "write"])
+def test_after_a_failed_call_nothing_more_is_acknowledged(call: str) -> None:
+    files = FaultyFiles()
+    engine = Engine(files, SMALL)
+    engine.commit(put("a", b"1"))
+    files.fail.add(call)
+    with pytest.raises(Failed):
+        engine.commit(put("a", b"2"))
+    files.fail.clear()
+    with pytest.raises(Failed, match="open the store anew"):
+        engine.commit(put("a", b"3"))
+    with pytest.raises(Failed):
+        engine.compact()
+    assert engine.get("a") == b"1", "readers see what was acknowledged"
+    files.close()
+    assert content(Engine(files, SMALL))["a"] in (b"1", b"2")
+
+
+def test_a_full_disk_and_a_short_write_lose_nothing() -> None:
+    for room in range(300, 2500, 37):
+        files, done, tried = FaultyFiles(), State(), State()
+        files.room = room
+        try:
+            engine = Engine(files, SMALL)
+            for n in range(50):
+                tried = {f"k{n % 4}": b"%d" % n * 9}
+                engine.commit(put(*next(iter(tried.items()))))
+                done |= tried
+        except (Failed, OSError):
+            pass
+        files.close()
+        found = content(Engine(files.after_crash(random.Random(room)), SMALL))
+        # All that was acknowledged, and of what was being attempted all or nothing.
+        assert found in (done, done | tried), room
+
+
+# ---- against a model ------------------------------------------------------------------------------------
+
+
+class Machine(RuleBasedStateMachine):
+    """A dictionary is the model; a crash may or may not bring what was never acknowledged."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.files, self.model = FaultyFiles(), State()
+        self.engine = Engine(self.files, SMALL)
+
+    @rule(key=st.sampled_from("abcde"), value=st.one_of(st.none(), st.binary(max_size=200)))
+    def change(self, key: str, value: bytes | None) -> None:
+        self.engine.commit(put(key, value))
+        if value is None:
+            self.model.pop(key, None)
+        else:
+            self.model[key] = value
+
+    @rule()
+    def compact(self) -> None:
+        self.engine.compact()
+
+    @rule(steps=st.integers(0, 2))
+    def compact_a_little(self, steps: int) -> None:
+        for _ in range(steps):
+            self.engine.compact(lambda: False)
+
+    @rule(seed=st.integers(0, 1 << 30))
+    def lose_power(self, seed: int) -> None:
+        self.files = self.files.after_crash(random.Random(seed))
+        self.engine = Engine(self.files, SMALL)
+
+    @precondition(lambda self: not self.engine.failed)
+    @rule(call=st.integers(1, 3), key=st.sampled_from("abcde"), seed=st.integers(0, 1 << 30))
+    def lose_power_in_a_commit(self, call: int, key: str, seed: int) -> None:
+        self.files.crash_at = self.files.calls + call
+        try:
+            self.engine.commit(put(key, b"torn"))
+            self.model[key] = b"torn"
+            self.files.crash_at = -1
+        except Crash:
+            self.files = self.files.after_crash(random.Random(seed))
+            self.engine = Engine(self.files, SMALL)
+            if content(self.engine) == self.model | {key: b"torn"}:
+                self.model[key] = b"torn"
+
+    @invariant()
+    def same(self) -> None:
+        assert content(self.engine) == self.model
+
+
+Machine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+TestMachine = Machine.TestCase
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -310,7 +310,7 @@
         lives["verdict"][:] = Verdict.REFUSED
         lives["director"][:] = strings.number("n0")
         attempts = {name: np.zeros(0, np.int64) for name in ATTEMPTS}
-        told = [(int(Told.START), begin - S, {})]
+        told: list[tuple[int, int, dict[str, int]]] = [(int(Told.START), begin - S, {})]
         told += [(int(Told.CLOCK), begin + k * S, {"mono_us": 5_000 * S * n + k * S}) for k in range(20)]
         writer.add(Table(lives, attempts, strings, told))
         writer.close()
