Recovery: what lasts, drains that hold over restarts, calls done once, durable updates

What the administration API and DNS updates changed was forgotten at a restart, and a restarted director could send to a member whose drain it had not yet heard of. With a block store, tenants, zones, keys (sealed), quotas, the plan of cells, drains and purges are rows of the store; a change is answered when it is durable and undone where it cannot be; the same Idempotency-Key tells the first outcome; RFC 2136 updates answer only once durable. Until the coordinator's feed has been heard up to the recorded number the stricter word wins, and purges that caches may not have done bind the first request. A booking's intent can be made durable before its first byte.

--- a/onyxwick/admin/api.py
+++ b/onyxwick/admin/api.py
@@ -70,6 +70,10 @@
         if request.method not in methods:
             raise HttpError(405, "method not allowed", {"Allow": ", ".join(methods)})
 
+    def operator_of(self, request: HttpRequest) -> None:
+        """Only the operator goes on."""
+        self._operator(self._caller(request))
+
     def _operator(self, caller: Tenant | None) -> None:
         if caller is not None:
             raise HttpError(403, "for the operator alone")
--- a/onyxwick/admin/http.py
+++ b/onyxwick/admin/http.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -24,6 +24,7 @@
     200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden",
     404: "Not Found", 405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large",
     429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    503: "Service Unavailable",
 }  # fmt: skip
 
 
@@ -50,7 +51,8 @@
         return data
 
 
-Handler = Callable[[HttpRequest], tuple[int, object]]
+Answer = tuple[int, object]
+Handler = Callable[[HttpRequest], Answer | Awaitable[Answer]]
 
 
 class _Collector:
@@ -133,7 +135,7 @@
                     if not await buffer.receive(loop, conn):
                         return
                 broken = self._parse(parser, collector, buffer.take(len(buffer)))
-                out = [self._answer(request) for request in collector.done]
+                out = [await self._answer(request) for request in collector.done]
                 collector.done.clear()
                 if broken is not None:
                     out.append(response(broken.status, {"error": broken.text}, close=True))
@@ -161,9 +163,10 @@
                 request.method = parser.get_method().decode("latin-1")
         return None
 
-    def _answer(self, request: HttpRequest) -> bytes:
+    async def _answer(self, request: HttpRequest) -> bytes:
         try:
-            status, data = self.handler(request)
+            answer = self.handler(request)
+            status, data = answer if isinstance(answer, tuple) else await answer
             self.counters.add(f"admin.{status}")
             return response(status, data)
         except HttpError as error:
--- a/onyxwick/cli/__init__.py
+++ b/onyxwick/cli/__init__.py
@@ -12,6 +12,7 @@
     "run": ("onyxwick.cli.run", "Run one director in the foreground."),
     "cells": ("onyxwick.cli.cells", "What the cells do, what a plan would do, and moves."),
     "lab": ("onyxwick.cli.lab", "Scenarios against the real program, judged from the sockets."),
+    "store": ("onyxwick.cli.store", "What a store holds, and what to do when it refuses."),
     "trace": ("onyxwick.cli.trace", "What a trace tells: cut, merge, summarise, explain, audit and more."),
     "config": ("onyxwick.cli.config", "Check configuration files."),
 }
--- /dev/null
+++ b/onyxwick/cli/store.py
@@ -0,0 +1,244 @@
+"""`onyxwick store`: what a store holds, and what to do when it refuses."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from pathlib import Path
+from typing import Any
+
+import click
+
+from onyxwick.cli import Unusable
+from onyxwick.store import Engine, Refused, StoreError
+from onyxwick.store import records as r
+from onyxwick.store.files import Disk
+
+folder_argument = click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+json_option = click.option("--json", "as_json", is_flag=True, help="JSON on standard output.")
+
+
+def _open(folder: Path) -> Engine:
+    try:
+        return Engine(Disk(folder))
+    except StoreError as error:
+        raise Unusable(f"{folder.name}: {error}") from None
+
+
+@click.group()
+def store() -> None:
+    """What a store holds, and what to do when it refuses."""
+
+
+@store.command()
+@folder_argument
+@json_option
+def check(folder: Path, as_json: bool) -> None:
+    """Can the store be opened with nothing lost? Exit 1 where it refuses, with what may be lost."""
+    try:
+        engine = Engine(Disk(folder))
+    except Refused as error:
+        click.echo(json.dumps({"good": False, "why": str(error)}) if as_json else f"refused: {error}")
+        raise click.exceptions.Exit(1) from None
+    except StoreError as error:
+        raise Unusable(str(error)) from None
+    state = engine.state()
+    engine.close()
+    text = "\n".join(f"{name}: {value}" for name, value in state.items())
+    click.echo(json.dumps({"good": True, **state}) if as_json else text)
+
+
+def _shown(key: str, value: bytes | None) -> Any:
+    """A row as JSON can hold it; sealed secrets stay sealed."""
+    if value is None:
+        return None
+    from onyxwick.store.durable import unpack
+
+    try:
+        row = unpack(key, value)
+    except StoreError:
+        return value.hex()
+    return {n: v.hex() if isinstance(v, bytes) else v for n, v in row.items()}
+
+
+@store.command()
+@folder_argument
+@click.argument("prefix", default="")
+def dump(folder: Path, prefix: str) -> None:
+    """Every row whose key begins with PREFIX, as JSON lines."""
+    engine = _open(folder)
+    for key, value in engine.scan(prefix):
+        line = {"key": key, "version": engine.version(key), "value": _shown(key, value)}
+        click.echo(json.dumps(line))
+    engine.close()
+
+
+@store.command()
+@folder_argument
+@click.argument("key")
+def history(folder: Path, key: str) -> None:
+    """Every change of KEY that the log still holds: when, by whom, to what."""
+    _open(folder).close()  # refuses where the log cannot be trusted
+    found = 0
+    for number, payload in _records(folder):
+        for name, value, version in payload.ops:
+            if name == key:
+                shown = _shown(name, value)
+                line = {"record": number, "at_us": payload.at_us, "by": payload.by, "version": version}
+                click.echo(json.dumps({**line, "value": shown}))
+                found += 1
+    if not found:
+        raise click.exceptions.Exit(1)
+
+
+def _records(folder: Path) -> list[tuple[int, r.Payload]]:
+    out = []
+    for path in sorted(folder.glob("log-*")):
+        data = path.read_bytes()
+        _, _, before = r.read_segment_header(data, path.name)
+        for found in r.records(data, r.SEGMENT.size, before):
+            out.append((found.number, r.read_payload(found.payload, found.number)))
+    return out
+
+
+@store.command()
+@folder_argument
+def compact(folder: Path) -> None:
+    """Write a checkpoint and drop the log that it makes needless. The director must not run."""
+    engine = _open(folder)
+    before = engine.size()
+    engine.compact()
+    click.echo(f"{before} bytes before, {engine.size()} after")
+    engine.close()
+
+
+@store.command()
+@folder_argument
+@click.argument("out", type=click.Path(path_type=Path))
+def backup(folder: Path, out: Path) -> None:
+    """Copy the store to the new folder OUT, also while a director runs: the copy is checked by opening it.
+
+    The mark is copied first: what it promises is in the log that is copied after it.
+    """
+    if out.exists():
+        raise Unusable(f"{out.name} is there already")
+    for _ in range(BACKUP_TRIES):
+        out.mkdir(parents=True)
+        try:
+            shutil.copy(folder / "mark", out)
+            for path in sorted(folder.glob("checkpoint-*")) + sorted(folder.glob("log-*")):
+                shutil.copy(path, out)
+            engine = Engine(Disk(out))
+        except (FileNotFoundError, Refused):  # a compaction dropped a file in between
+            shutil.rmtree(out)
+            continue
+        records = engine.number
+        engine.close()
+        click.echo(f"{records} records")
+        return
+    raise Unusable("the store was compacted under every attempt; try again")
+
+
+BACKUP_TRIES = 5
+
+
+@store.command()
+@folder_argument
+@click.argument("out", type=click.Path(path_type=Path))
+@click.option("--until", type=int, help="Unix microseconds: changes after it are left out.")
+@click.option("--record", type=int, help="The last record that is taken.")
+def restore(folder: Path, out: Path, until: int | None, record: int | None) -> None:
+    """Make a new store in OUT from the backup FOLDER, up to a moment, as far back as its log reaches."""
+    source = _open(folder)
+    if out.exists():
+        raise Unusable(f"{out.name} is there already")
+    payloads = _records(folder)
+    first = payloads[0][0] if payloads else source.number + 1
+    chosen = [
+        (n, p) for n, p in payloads if (until is None or p.at_us <= until) and (record is None or n <= record)
+    ]
+    if source.checkpoint_at >= first or (record is not None and record < source.checkpoint_at):
+        raise Unusable(f"this backup reaches back to record {source.checkpoint_at} only")
+    target = Engine(Disk(out), store=source.store)
+    for path in sorted(folder.glob("checkpoint-*"))[-1:]:
+        _, _, rows = r.read_checkpoint(path.read_bytes(), path.name)
+        _write(target, r.Payload(0, "restore", rows))
+    for _, payload in chosen:
+        _write(target, payload)
+    click.echo(f"{len(chosen)} records after record {source.checkpoint_at}")
+    source.close()
+    target.close()
+
+
+def _write(target: Engine, payload: r.Payload) -> None:
+    from onyxwick.store import Op, Transaction
+
+    ops = tuple(Op(key, value) for key, value, _ in payload.ops)
+    for at in range(0, len(ops), 1000):
+        target.commit(Transaction(ops[at : at + 1000], payload.by, payload.at_us))
+
+
+@store.command()
+@folder_argument
+@click.argument("out", type=click.Path(path_type=Path))
+@click.option("--accept-loss", is_flag=True, help="Yes, what is told to be lost may be lost.")
+def repair(folder: Path, out: Path, accept_loss: bool) -> None:
+    """Make a new store in OUT from what can still be read of a FOLDER that refuses; says what is missing.
+
+    The folder itself is not touched. Exit 1 without --accept-loss.
+    """
+    if out.exists():
+        raise Unusable(f"{out.name} is there already")
+    kept, lost = _salvage(folder)
+    for text in lost:
+        click.echo(f"lost: {text}")
+    click.echo(f"{len(kept)} records can be read")
+    if not accept_loss:
+        click.echo("nothing was written; with --accept-loss a new store is made of them")
+        raise click.exceptions.Exit(1)
+    target = Engine(Disk(out))
+    for payload in kept:
+        _write(target, payload)
+    target.close()
+
+
+def _salvage(folder: Path) -> tuple[list[r.Payload], list[str]]:
+    kept, lost, number = list[r.Payload](), list[str](), 0
+    for path in sorted(folder.glob("checkpoint-*")):
+        try:
+            _, number, rows = r.read_checkpoint(path.read_bytes(), path.name)
+            kept = [r.Payload(0, "repair", rows)]
+        except Refused as error:
+            lost.append(str(error))
+    for path in sorted(folder.glob("log-*")):
+        data = path.read_bytes()
+        try:
+            _, _, before = r.read_segment_header(data, path.name)
+        except Refused as error:
+            lost.append(str(error))
+            continue
+        if before > number:
+            lost.append(f"records {number + 1} to {before}, before {path.name}")
+        end = r.SEGMENT.size
+        for found in r.records(data, end, before):
+            if found.number > number:
+                kept.append(r.read_payload(found.payload, found.number))
+                number = found.number
+            end = found.end
+        if end < len(data):
+            lost.append(f"{len(data) - end} bytes of {path.name} behind record {number}")
+    marks = r.read_marks((folder / "mark").read_bytes()) if (folder / "mark").exists() else []
+    promised = max((n for _, n, _ in marks), default=None)
+    if promised is None:
+        lost.append("the mark: whether more was acknowledged cannot be told")
+    elif promised > number:
+        lost.append(f"records {number + 1} to {promised}, which were acknowledged")
+    return kept, lost
+
+
+@store.command("new-key")
+def new_key() -> None:
+    """Print a new key for the key file; put it on its first line to seal with it from now on."""
+    from onyxwick.store.sealing import new_key as made
+
+    click.echo(made())
--- a/onyxwick/config/service.py
+++ b/onyxwick/config/service.py
@@ -33,6 +33,19 @@
     token: str = ""
     plan: Plan | None = None  # of cells; None: one router for all
     trace: TraceConfig | None = None
+    store: StoreConfig | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StoreConfig:
+    """Where what must last is kept. `installation`: a store of another one is refused."""
+
+    folder: Path
+    key_file: Path
+    installation: str
+    bookings: bool  # the intent of each booking is durable before it is sent
+    log_bytes: int
+    total_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +87,27 @@
     return token
 
 
+def _store(row: Fields, folder: Path) -> StoreConfig:
+    out = StoreConfig(
+        folder / row.text("folder"),
+        folder / row.text("key_file"),
+        row.name("installation"),
+        row.flag("bookings", False),
+        row.whole("log_mb", 1, 65_536, 64) << 20,
+        row.whole("total_mb", 2, 1_000_000, 512) << 20,
+    )
+    if not out.key_file.exists():
+        raise row.error(
+            "key_file", f"{out.key_file.name} is not there; `onyxwick store new-key` prints a key"
+        )
+    if out.total_bytes < 2 * out.log_bytes:
+        raise row.error(
+            "total_mb", f"is under twice log_mb ({out.log_bytes >> 20}): no room for a compaction"
+        )
+    row.done()
+    return out
+
+
 def _trace(row: Fields, folder: Path) -> TraceConfig:
     out = TraceConfig(
         folder / row.text("folder"),
@@ -102,6 +136,8 @@
         out.admin = admin.address("listen", loopback=True)
         out.token = _token(admin, folder)
         admin.done()
+    if row := top.block_of("store"):
+        out.store = _store(row, folder)
     if row := top.block_of("trace"):
         out.trace = _trace(row, folder)
     if any(block.type in CELL_BLOCKS for block in top.block.blocks):
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -18,6 +18,7 @@
 from onyxwick.logic import Router
 
 if TYPE_CHECKING:
+    from onyxwick.store.durable import Durable
     from onyxwick.trace.watch import Watch
 
 log = logs.get()
@@ -78,6 +79,7 @@
     mailbox: Mailbox = field(default_factory=Mailbox)
     attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
     gone: bool = False
+    intended: bool = False  # that it will be sent is durable
     transport: Transport | None = None  # a front's own way of carrying out attempts
 
 
@@ -102,6 +104,10 @@
         self.clock, self.most_open = clock, most_open
         self.latest = clock()
         self.watch: Watch | None = None  # writes a trace, where one is wanted
+        self.durable: Durable | None = None  # what lasts over restarts, where the installation has a disk
+        self.told: dict[
+            str, tuple[i.Member, tuple[str, int]]
+        ] = {}  # the list before what `durable` holds back
         self.lives: dict[str, Life] = {}
         self.idle = asyncio.Event()
         self.idle.set()
@@ -118,11 +124,10 @@
     # ---- events in, actions out -------------------------------------------------------------------------
 
     def tell(self, *events: i.Event) -> None:
-        now, watch = self.now(), self.watch
-        jobs = watch.before(self.router, events) if watch is not None else None
+        now = self.now()
         actions = self.router.handle(now, list(events))
-        if watch is not None and jobs is not None:
-            watch.after(now, self.router, events, actions, jobs)
+        if self.watch is not None:
+            self.watch.after(now, self.router, events, actions)
         for action in actions:
             if isinstance(action, i.SetTimer):
                 delay = max(0, action.at_us - self.now()) / 1e6
@@ -147,10 +152,41 @@
             asyncio.get_running_loop().call_later(RETRY_TIMER_S, self._timer, at, token)
 
     def list_changed(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
+        if self.durable is not None:
+            if event.kind is not i.ListKind.CHANGE:
+                self.told.clear()
+            self.told |= {
+                m.address: (m, addresses[m.address]) for m in event.members if m.address in addresses
+            }
+            self.durable.list_told(event, self.now())
+            event = self.durable.recovery.seen(event)
         self.members.apply(event, addresses)
         self.tell(event)
 
+    def retell(self, *names: str) -> None:
+        """The list's rows of some members once more: what holds them back has changed."""
+        rows = [self.told[name] for name in names if name in self.told and name in self.members.listed]
+        if rows:
+            addresses = {m.address: address for m, address in rows}
+            self.list_changed(i.MembersChanged(i.ListKind.CHANGE, tuple(m for m, _ in rows)), addresses)
+
+    def recovered(self, durable: Durable) -> None:
+        """Take in what lasted: purges that a cache may not have done bind the first request already."""
+        self.durable = durable
+        for purge in durable.recovery.purges_to_tell(self.now()):
+            self.members.purged(purge.group, purge.object, self.now())
+            self.tell(purge)
+
+    def heard(self, index: int) -> None:
+        """The coordinator's feed has been heard up to a number."""
+        if self.durable is not None:
+            held = list(self.durable.recovery.drains)
+            if self.durable.index_told(index, self.now()):
+                self.retell(*held)
+
     def purged(self, group: int, name: str | None, at_us: int) -> None:
+        if self.durable is not None:
+            self.durable.purge_told(group, name, at_us, self.now())
         self.members.purged(group, name, self.now())
         self.tell(i.Purged(group, name, max(0, self.now() - at_us)))
 
@@ -182,6 +218,12 @@
             self.counters.add("answer.duplicate" if known else "answer.overloaded")
             reply(Answer(Verdict.FAILED if known else Verdict.REFUSED))
             return None
+        once = self.durable is not None and request.class_name in self.once
+        if once and self.durable is not None and not self.durable.recovery.may_send(request.id):
+            # An attempt of it was under way when this director ended: it may have run.
+            self.counters.add("answer.may_have_run")
+            reply(Answer(Verdict.FAILED))
+            return None
         life = Life(request, transport=transport)
         self.lives[request.id] = life
         self.idle.clear()
@@ -205,6 +247,8 @@
             if self.watch is not None:
                 self.watch.answered(self.now(), request.id, None if life.gone else answer)
             await self._wind_up(life)
+            if life.intended and self.durable is not None:
+                await self.durable.ended(request.id)
         finally:
             del self.lives[request.id]
             if not self.lives:
@@ -236,6 +280,8 @@
             while True:
                 match mail := await life.mailbox.get():
                     case i.Attempt() | i.Fetch():
+                        if self._must_last(life):
+                            await self._intend(life)
                         self._start(life, mail)
                     case i.Cancel(_, number):
                         self._cancel(life, number)
@@ -260,6 +306,18 @@
         finally:
             overdue.cancel()
 
+    def _must_last(self, life: Life) -> bool:
+        durable = self.durable
+        return durable is not None and durable.bookings and life.request.class_name in self.once
+
+    async def _intend(self, life: Life) -> None:
+        """The intent of a request that must not run twice is durable before its first byte goes out. An error
+        of the store is the request's failure: it was not sent."""
+        if life.intended or self.durable is None:
+            return
+        await self.durable.intend(life.request.id, self.now())
+        life.intended = True
+
     async def _wind_up(self, life: Life) -> None:
         """After the final answer: every attempt still out ends, and the module is told how."""
         while any(life.attempts) or life.mailbox.mail:
--- a/onyxwick/dns/server.py
+++ b/onyxwick/dns/server.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import dns.exception
 import dns.flags
@@ -29,7 +29,11 @@
 from onyxwick.dns import lookup, naming, update
 from onyxwick.net.buffer import Buffer
 from onyxwick.net.front import listen
-from onyxwick.tenants import Zone
+from onyxwick.store.errors import StoreError
+from onyxwick.tenants import Zone, read_zone
+
+if TYPE_CHECKING:
+    from onyxwick.store.durable import Durable
 
 log = logs.get()
 PLAIN_SIZE, EDNS_SIZE = 512, 1232  # answers over UDP without and with EDNS
@@ -52,7 +56,10 @@
 class DnsFront:
     """Answers for the tenants' zones. What lies under a routed name is the core's to say."""
 
-    def __init__(self, core: Core, counters: Counters, config: ServiceConfig) -> None:
+    def __init__(
+        self, core: Core, counters: Counters, config: ServiceConfig, durable: Durable | None = None
+    ) -> None:
+        self.durable = durable
         self.core, self.counters, self.tenants = core, counters, config.tenants
         self.deadline_us, self.address = config.deadline_us, config.dns
         self.transport = naming.Naming()
@@ -131,7 +138,7 @@
             return self._send(query, response, udp, send)
         self.counters.add(f"dns.query.{zone.tenant}")
         if isinstance(query, dns.update.UpdateMessage):
-            self._update(zone, query, response)
+            await self._update(zone, query, response)
         elif zone.routed is not None and name.is_subdomain(zone.routed):
             response.flags |= dns.flags.AA
             if await self._routed(zone, query, response, lambda: self._send(query, response, udp, send)):
@@ -148,20 +155,39 @@
         else:
             lookup.answer(zone, query.question[0].name, kind, response)
 
-    def _update(self, zone: Zone, query: dns.update.UpdateMessage, response: dns.message.Message) -> None:
+    async def _update(
+        self, zone: Zone, query: dns.update.UpdateMessage, response: dns.message.Message
+    ) -> None:
         keys = self.tenants.tenants[zone.tenant].keys
         if query.question[0].name != zone.name:
             return response.set_rcode(dns.rcode.NOTAUTH)
         if not query.had_tsig or query.keyname not in keys:
             self.counters.add("dns.update.refused")
             return response.set_rcode(dns.rcode.REFUSED)
+        before = zone.data
+        if self.durable is not None:
+            # The change is made in a copy: it is seen only once it is durable, and never half.
+            text = before.to_text(relativize=False)
+            zone.data = read_zone(zone.tenant, str(zone.name), text).data
         try:
             update.apply(zone, query)
+            await self._last(zone)
             self.counters.add("dns.update.done")
+        except StoreError as error:
+            zone.data = before
+            self.counters.add("dns.update.failed")
+            log.error("update not durable, and not done", error=str(error))
+            response.set_rcode(dns.rcode.SERVFAIL)
         except update.UpdateError as error:
             self.counters.add("dns.update.failed")
             response.set_rcode(error.rcode)
 
+    async def _last(self, zone: Zone) -> None:
+        """Durable before the update is answered; its serial can then never go back over a restart."""
+        if self.durable is not None:
+            tenant = self.tenants.tenants[zone.tenant]
+            await self.durable.commit(self.durable.tenant_changes(zone.tenant, tenant), "update")
+
     # ---- routed names -----------------------------------------------------------------------------------
 
     async def _routed(
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -29,12 +29,14 @@
 from onyxwick.net.coordinator import Coordinator
 
 if TYPE_CHECKING:
+    from onyxwick.admin.api import Api
     from onyxwick.admin.cells import CellsApi
-    from onyxwick.admin.http import HttpServer
+    from onyxwick.admin.http import Handler, HttpServer
     from onyxwick.cells import Cells, Plan
     from onyxwick.cells.holding import Holding
     from onyxwick.config.service import ServiceConfig, TraceConfig
     from onyxwick.dns.server import DnsFront
+    from onyxwick.store.durable import Durable
 
 log = logs.get()
 SERVICE_FILE = Path(__file__).parents[1] / "deploy" / "service.hcl"
@@ -76,6 +78,7 @@
             most_open=config.most_open,
             decide=Router if plan is None else partial(self._with_cells, plan),
         )
+        self.durable = self._durable()
         self.coordinator = Coordinator(self.core, self.counters)
         self.front = front.Front(
             self.core,
@@ -86,6 +89,41 @@
             *self._parts(),
         )
 
+    def _durable(self) -> Durable | None:
+        """What lasted, read before anything is decided. Refused (a StoreError) rather than half of it."""
+        told = self.service.store if self.service else None
+        if told is None or self.service is None:
+            return None
+        from hashlib import blake2b
+
+        from onyxwick.store.durable import Durable
+        from onyxwick.store.engine import Limits
+        from onyxwick.store.files import Disk
+        from onyxwick.store.sealing import read_keys
+
+        durable = Durable(
+            Disk(told.folder),
+            read_keys(told.key_file),
+            blake2b(told.installation.encode(), digest_size=16).digest(),
+            self.core.now(),
+            self.config.settings.rules.purge_settles_us,
+            told.bookings,
+            Limits(log=told.log_bytes, total=told.total_bytes),
+        )
+        durable.load_tenants(self.service.tenants)
+        self._recorded_plan(durable)
+        return durable
+
+    def _recorded_plan(self, durable: Durable) -> None:
+        """The plan that a call has made goes before the file's, which it was made from."""
+        row = durable.plan()
+        if row is None or self.cells is None:
+            return
+        from onyxwick.config.cells import plan_of_json
+
+        self.cells.apply(self.core.now(), plan_of_json(row["plan"], int(row["version"])))
+        log.info("plan of cells from the store", version=self.cells.plan.version)
+
     def _with_cells(self, plan: Plan, settings: i.Settings, seed: int, now: int) -> Cells:
         from onyxwick.cells import Cells
 
@@ -154,6 +192,9 @@
         self._signals()
         with front.listen(self.config.listen) as sock:
             loop = asyncio.get_running_loop()
+            if self.durable is not None:
+                self.durable.start()
+                self.core.recovered(self.durable)
             self.coordinator.known(self.config.known)
             side = [
                 loop.create_task(self.coordinator.follow(self.config.coordinator)),
@@ -175,6 +216,8 @@
             task.cancel()
         await asyncio.gather(*side, return_exceptions=True)
         await self.caches.close()
+        if self.durable is not None:
+            await self.durable.close()
         self._enter(State.STOPPED)
         self.print_counters()
 
@@ -230,12 +273,19 @@
 
         out: list[DnsFront | HttpServer] = []
         if self.service.dns:
-            out.append(DnsFront(self.core, self.counters, self.service))
+            out.append(DnsFront(self.core, self.counters, self.service, self.durable))
         if self.service.admin:
             api = Api(self.service.tenants, self.counters, self.service.token, self.health, self._cells_api())
-            out.append(HttpServer(self.service.admin, api, self.counters))
+            out.append(HttpServer(self.service.admin, self._lasting(api), self.counters))
         return out
 
+    def _lasting(self, api: Api) -> Handler:
+        if self.durable is None:
+            return api
+        from onyxwick.admin.durable import DurableApi
+
+        return DurableApi(api, self.durable, self.core)
+
     def _cells_api(self) -> CellsApi | None:
         if self.cells is None:
             return None
@@ -277,9 +327,25 @@
     except ConfigError as error:
         print(f"onyxwick: {error}", file=sys.stderr)
         return 2
-    uvloop.run(_run(told, service))
+    try:
+        uvloop.run(_run(told, service))
+    except Unusable as error:
+        print(f"onyxwick: {error}", file=sys.stderr)
+        return 2
     return 0
 
 
+class Unusable(Exception):
+    """What the program starts from cannot be used; the text says why."""
+
+
 async def _run(told: Config, service: ServiceConfig | None) -> None:
-    await Director(told, service).run()
+    if service is None or service.store is None:
+        return await Director(told, service).run()
+    from onyxwick.store.errors import StoreError
+
+    try:
+        director = Director(told, service)
+    except StoreError as error:
+        raise Unusable(f"the store in {service.store.folder.name} is not opened: {error}") from None
+    return await director.run()
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -76,6 +76,7 @@
                 self.core.purged(group, name, int(evict["unix_ms"]) * 1000)
         except (KeyError, ValueError, TypeError, AttributeError) as error:
             self.bad(f"event {index}: {error!r}")
+        self.core.heard(index)
 
     def bad(self, text: str) -> None:
         self.counters.add("bad.coordinator")
--- a/onyxwick/store/__init__.py
+++ b/onyxwick/store/__init__.py
@@ -1,8 +1,17 @@
-"""A small embedded store: a log, an index, checkpoints and recovery beneath everything that must last."""
+"""A small embedded store: a log, an index, checkpoints and recovery beneath everything that must last.
+
+Its names are loaded when they are asked for: who only needs an error's name loads no library.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
 
-from onyxwick.store.engine import Engine, Limits, Op, Transaction
 from onyxwick.store.errors import Busy, Conflict, Failed, Full, Refused, StoreError
 
+if TYPE_CHECKING:
+    from onyxwick.store.engine import Engine, Limits, Op, Transaction
+
 __all__ = [
     "Busy",
     "Conflict",
@@ -15,3 +24,11 @@
     "StoreError",
     "Transaction",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in __all__:
+        raise AttributeError(name)
+    from onyxwick.store import engine
+
+    return getattr(engine, name)
--- a/onyxwick/trace/format.py
+++ b/onyxwick/trace/format.py
@@ -22,7 +22,7 @@
 CLOSING = struct.Struct("<Q8s")  # where the index is, magic
 MOST_HEAD, MOST_BODY, MOST_RAW = 1 << 20, 16 << 20, 64 << 20
 MOST_STRINGS, MOST_ROWS = 65_535, 1 << 20
-LEVEL = 6
+LEVEL = 3
 BLOOM_HASHES, BLOOM_BITS = 4, 8  # bits for each key: one in forty is let through in vain
 
 
--- a/onyxwick/trace/recorder.py
+++ b/onyxwick/trace/recorder.py
@@ -80,6 +80,7 @@
     took: int = 0
     after: int = 0
     bytes: int = 0
+    job: Any = None  # the module's own, for the cause of the end
 
 
 def number(name: str) -> int:
--- a/onyxwick/trace/watch.py
+++ b/onyxwick/trace/watch.py
@@ -26,6 +26,7 @@
 
 log = logs.get()
 CLOCK_US = 1_000_000  # between two records of both clocks
+LEAST_LEFT_US = 1000  # under it a request had no time for an attempt
 FINALS = {Verdict.SERVED: Final.SERVED, Verdict.REFUSED: Final.REFUSED, Verdict.FAILED: Final.FAILED}
 
 
@@ -102,22 +103,8 @@
 
     # ---- around the module ------------------------------------------------------------------------------
 
-    def before(self, decider: i.Decider, events: tuple[i.Event, ...]) -> dict[str, Any]:
-        """Jobs that the module may close while it handles these events."""
-        out: dict[str, Any] = {}
-        for event in events:
-            request = getattr(event, "request", None)
-            if request is not None and (router := _router_of(decider, request)) is not None:
-                out[request] = router.jobs.get(request)
-        return out
-
     def after(
-        self,
-        now: int,
-        decider: i.Decider,
-        events: tuple[i.Event, ...],
-        actions: list[i.Action],
-        jobs: dict[str, Any],
+        self, now: int, decider: i.Decider, events: tuple[i.Event, ...], actions: list[i.Action]
     ) -> None:
         if self.broken:
             return
@@ -125,7 +112,7 @@
             for event in events:
                 self._event(now, decider, event)
             for action in actions:
-                self._action(now, decider, action, jobs)
+                self._action(now, decider, action)
         except Exception:
             self._fault()
 
@@ -147,32 +134,34 @@
                 }
                 self.recorder.told(now, Told.PURGE, told)
 
-    def _action(self, now: int, decider: i.Decider, action: i.Action, jobs: dict[str, Any]) -> None:
+    def _action(self, now: int, decider: i.Decider, action: i.Action) -> None:
         match action:
             case i.Attempt() | i.Fetch():
                 router = _router_of(decider, action.request)
-                if router is not None:
+                story = self.recorder.stories.get(action.request)
+                if router is not None and story is not None:
+                    # Kept, as the module forgets it with its last word, which is when it is wanted.
+                    story.job = router.jobs.get(action.request)
                     self.recorder.decided(now, action, why.belief(router, action))
-                    self.recorder.note_once(now, action.request, action.member)
+                    if story.once:
+                        self.recorder.note_once(now, action.request, action.member)
             case i.Cancel(request, attempt):
                 self.recorder.cancelled(now, request, attempt)
             case i.Refuse(request=request) | i.Fail(request=request):
-                self._ending(now, decider, request, jobs)
+                self._ending(now, decider, request)
 
-    def _ending(self, now: int, decider: i.Decider, request: str, jobs: dict[str, Any]) -> None:
+    def _ending(self, now: int, decider: i.Decider, request: str) -> None:
         """The cause of a refusal is noted where it was decided; the answer itself comes by `answered`."""
         story = self.recorder.stories.get(request)
         if story is None:
             return
         router = _router_of(decider, request)
-        job = jobs.get(request) or (router.jobs.get(request) if router is not None else None)
-        if router is None:
-            shed = request in getattr(decider, "shed_now", ())
-            story.why = Why.SHED if shed else Why.NO_BOX
-        elif job is None and not story.tries:
-            story.why = Why.NO_BOX
+        if request in getattr(decider, "shed_now", ()):
+            story.why = Why.SHED
+        elif router is None or story.job is None:
+            story.why = Why.NO_TIME if story.ask.expires_in_us <= LEAST_LEFT_US else Why.NO_BOX
         else:
-            story.why = why.ending(router, job, now)
+            story.why = why.ending(router, story.job, now)
 
     # ---- around attempts and answers --------------------------------------------------------------------
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -120,8 +120,8 @@
     scenario.read(EXAMPLES / name)
     text = (EXAMPLES / name).read_text()
     if "extends" in text:
-        told, base = scenario.read(EXAMPLES / name), scenario.read(EXAMPLES / "move.hcl")
-        assert told.loads == base.loads and len(told.happenings) > len(base.happenings)
+        crash, base = scenario.read(EXAMPLES / "move-crash.hcl"), scenario.read(EXAMPLES / "move.hcl")
+        assert crash.loads == base.loads and len(crash.happenings) > len(base.happenings)
         return
     for wrong, wanted in (
         (text.replace('aim      = "600ms"', "aim      = 600"), "aim': 600 has no unit"),
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,303 @@
+"""What a director may decide before, while and after it has its state back; and how many come back
+together."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from onyxwick import interface as i
+from onyxwick.admin.api import Api
+from onyxwick.admin.durable import DurableApi
+from onyxwick.admin.http import HttpError, HttpRequest
+from onyxwick.core import Core, Order, Outcome, Request
+from onyxwick.core.members import Members
+from onyxwick.core.model import Answer, Verdict
+from onyxwick.counters import Counters
+from onyxwick.store import Failed, Full, Refused
+from onyxwick.store.durable import Durable, unpack
+from onyxwick.store.pacing import Comeback, Pace
+from onyxwick.store.recovery import LEGAL, Drain, IllegalPhase, Phase, Purge, Recovery
+from onyxwick.store.sealing import Sealer, new_key, read_keys
+from onyxwick.tenants import Tenants
+from tests.faulty_files import FaultyFiles
+from tests.world import CACHES, ORIGIN, PARENTS, SETTINGS, S, member
+
+KEY = new_key()
+ROWS = (*CACHES, *PARENTS, ORIGIN)
+ADDRESSES = {m.address: ("127.0.0.1", 9) for m in ROWS}
+
+
+def _recovered(drains: list[Drain], reached: int = 5, now: int = 100 * S) -> Recovery:
+    recovery = Recovery(now, 6 * S)
+    recovery.opened(now)
+    recovery.replayed(now, drains, [Purge(1, None, now - 2 * S), Purge(2, "o", now - 9 * S)], ["b1"], reached)
+    return recovery
+
+
+# ---- the machine ----------------------------------------------------------------------------------------
+
+
+def test_only_legal_steps_are_possible() -> None:
+    for phase in Phase:
+        for to in Phase:
+            recovery = Recovery(0, S)
+            recovery.phase = phase
+            if to not in LEGAL[phase]:
+                with pytest.raises(IllegalPhase):
+                    recovery._enter(to, 1)
+
+
+def test_until_the_feed_is_heard_the_stricter_word_wins_and_then_the_coordinators() -> None:
+    recovery = _recovered([Drain("c0", "coordinator", 0), Drain("c1", "operator", 0)])
+    event = i.MembersChanged(i.ListKind.FULL, ROWS)
+    states = {m.address: m.state for m in recovery.seen(event).members}
+    assert states["c0"] is states["c1"] is i.State.DRAINING and states["c2"] is i.State.READY
+    assert not recovery.heard(101 * S, 4) and recovery.shown()["phase"] == "checking"
+    assert recovery.heard(101 * S, 5) and recovery.shown()["phase"] == "serving"
+    states = {m.address: m.state for m in recovery.seen(event).members}
+    assert states["c0"] is i.State.READY, "the coordinator has not told of a drain again: it was lifted"
+    assert states["c1"] is i.State.DRAINING, "an operator's drain is lifted by an operator alone"
+    assert recovery.lifted("c1") and not recovery.lifted("c1")
+    assert recovery.seen(event) is event
+
+
+def test_another_process_under_a_drained_name_is_not_drained_by_the_coordinators_word() -> None:
+    recovery = _recovered([Drain("c0", "coordinator", 50 * S), Drain("c1", "operator", 50 * S)])
+    new = i.MembersChanged(i.ListKind.CHANGE, (member("c0", since=90 * S), member("c1", since=90 * S)))
+    assert [m.state for m in recovery.seen(new).members] == [i.State.READY, i.State.DRAINING]
+    gone = i.MembersChanged(i.ListKind.CHANGE, (replace(member("c1"), state=i.State.GONE),))
+    assert recovery.seen(gone).members[0].state is i.State.GONE
+
+
+def test_a_feed_that_is_never_heard_keeps_the_drains_and_does_not_hold_the_service() -> None:
+    recovery = _recovered([Drain("c0", "coordinator")])
+    assert recovery.serves and not recovery.tick(109 * S)
+    assert recovery.tick(111 * S) and recovery.phase is Phase.SERVING
+    assert recovery.held(member("c0")) and "not heard" in recovery.why
+
+
+def test_purges_that_may_not_be_done_are_told_again_and_bookings_are_not_sent_again() -> None:
+    recovery = _recovered([])
+    assert recovery.purges_to_tell(101 * S) == [i.Purged(1, None, 3 * S)]
+    assert not recovery.may_send("b1") and recovery.may_send("b2")
+
+
+def test_directors_that_start_together_do_not_call_together() -> None:
+    """At 3 and at 40: the calls of the first 100 ms, and the limits that all allow themselves."""
+    for directors, most in ((3, 3), (40, 8)):
+        backs = [Comeback(n * 7919, 0, Pace(), directors) for n in range(directors)]
+        windows = [0] * 21
+        for back in backs:
+            windows[back.wait_us // 100_000] += 1
+        assert max(windows) <= most and sum(windows) == directors
+        shares = [sum(b.share(at) for b in backs) / directors for at in range(0, 14 * S, S)]
+        assert shares == sorted(shares) and shares[0] <= 0.21 and shares[-1] == 1.0
+    alone = Comeback(1, 0, Pace(), 1)
+    assert alone.may_call(0)
+    tries = [[back.next_try_us(100_000) for _ in range(12)] for back in backs]
+    assert all(max(row) <= 8 * S for row in tries) and len({row[3] for row in tries}) == 40
+    backs[0].heard()
+    assert backs[0].next_try_us(100_000) <= 100_000
+
+
+# ---- rows -----------------------------------------------------------------------------------------------
+
+
+def _durable(files: FaultyFiles, bookings: bool = False) -> Durable:
+    return Durable(files, Sealer([KEY]), b"installation-one", 100 * S, 6 * S, bookings)
+
+
+def test_keys_rotate_and_a_wrong_key_is_refused(tmp_path: Path) -> None:
+    old, new = new_key(), new_key()
+    sealed = Sealer([old]).seal(b"secret")
+    both = Sealer([new, old])
+    assert both.open(sealed, "x") == b"secret"
+    again = both.renew(sealed)
+    assert Sealer([new]).open(again, "x") == b"secret" and b"secret" not in again
+    with pytest.raises(Refused, match="key/x: no key of the key file opens it"):
+        Sealer([new]).open(sealed, "key/x")
+    (tmp_path / "keys").write_text(f"# newest first\n{new}\n{old}\n")
+    assert read_keys(tmp_path / "keys").open(sealed, "x") == b"secret"
+    for text in ("", "# none\n", "short\n"):
+        (tmp_path / "keys").write_text(text)
+        with pytest.raises(Refused):
+            read_keys(tmp_path / "keys")
+
+
+def test_a_row_of_a_newer_schema_is_refused() -> None:
+    from onyxwick.store.durable import encode
+
+    with pytest.raises(Refused, match="schema 9, newer"):
+        unpack("drain/c0", encode([9, {}]))
+    with pytest.raises(Refused, match="cannot be read"):
+        unpack("drain/c0", b"\xc1")
+
+
+# ---- the API --------------------------------------------------------------------------------------------
+
+
+class Nothing:
+    async def run(self, order: Order) -> Outcome:
+        return Outcome(i.Status.OK, i.Detail.HIT)
+
+
+class Depot:
+    """A core, the API and a store, over files that outlive it."""
+
+    def __init__(self, files: FaultyFiles, bookings: bool = False) -> None:
+        self.files = files
+        self.durable = _durable(files, bookings)
+        self.durable.start()
+        self.core = Core(SETTINGS, 7, Nothing(), Members(), Counters())
+        self.core.durable = self.durable
+        self.tenants = Tenants()
+        self.durable.load_tenants(self.tenants)
+        self.core.list_changed(i.MembersChanged(i.ListKind.FULL, ROWS), ADDRESSES)
+        self.api = DurableApi(
+            Api(self.tenants, Counters(), "operator-token-1", dict), self.durable, self.core
+        )
+
+    async def call(self, method: str, path: str, data: object = None, key: str = "") -> tuple[int, object]:
+        head = {"authorization": "Bearer operator-token-1"} | ({"idempotency-key": key} if key else {})
+        body = json.dumps(data).encode() if data is not None else b""
+        try:
+            return await self.api(HttpRequest(method, path, head, body))
+        except HttpError as error:
+            return error.status, error.text
+
+
+ZONE = "@ 60 IN SOA ns. a. {} 1 1 1 60\n@ 60 IN NS ns.\n"
+
+
+def test_what_the_api_acknowledged_is_there_after_a_restart() -> None:
+    async def play() -> None:
+        depot = Depot(FaultyFiles())
+        assert (await depot.call("POST", "/tenants", {"name": "yard", "quota_per_s": 5, "token": "t" * 16}))[
+            0
+        ] == 201
+        zone = {"text": ZONE.format(7)}
+        assert (await depot.call("PUT", "/tenants/yard/zones/yard.test.", zone))[0] == 201
+        assert (
+            await depot.call("PUT", "/tenants/yard/keys/k.test.", {"secret": "b255eHdpY2stdGVzdC1rZXk="})
+        )[0] == 201
+        assert (await depot.call("PUT", "/drains/c1", {"reason": "disk"}))[0] == 200
+        assert (await depot.call("POST", "/tenants", {"name": "gone"}))[0] == 201
+        assert (await depot.call("DELETE", "/tenants/gone"))[0] == 204
+        assert not depot.core.members.ready("c1") and depot.core.members.ready("c0")
+        assert b"onyxwick-test-key" not in b"".join(depot.files.read(n) for n in depot.files.names())
+        again = Depot(depot.files.after_crash(random.Random(1)))
+        tenant = again.tenants.tenants["yard"]
+        assert set(again.tenants.tenants) == {"yard"} and tenant.quota.per_s == 5 and tenant.token == "t" * 16
+        assert [z.data.get_soa().serial for z in tenant.zones.values()] == [7]
+        assert list(tenant.keys.values()) == [b"onyxwick-test-key"]
+        assert not again.core.members.ready("c1"), "the drain holds before the first request"
+        assert (await again.call("DELETE", "/drains/c1"))[1] == {"member": "c1", "lifted": True}
+        assert again.core.members.ready("c1")
+
+    asyncio.run(play())
+
+
+def test_the_same_call_is_done_once_and_tells_its_first_outcome_again() -> None:
+    async def play() -> None:
+        depot = Depot(FaultyFiles())
+        first = await depot.call("POST", "/tenants", {"name": "yard"}, key="k1")
+        again = Depot(depot.files.after_crash(random.Random(2)))
+        assert await again.call("POST", "/tenants", {"name": "yard"}, key="k1") == first and first[0] == 201
+        assert (await again.call("POST", "/tenants", {"name": "yard"}, key="k2"))[0] == 409
+        assert (await again.call("POST", "/tenants", {"name": "other"}, key="k1"))[0] == 409
+        assert list(again.tenants.tenants) == ["yard"]
+
+    asyncio.run(play())
+
+
+def test_what_cannot_be_made_durable_is_not_done() -> None:
+    async def play() -> None:
+        depot = Depot(FaultyFiles())
+        await depot.call("POST", "/tenants", {"name": "yard", "quota_per_s": 5})
+        await depot.call("PUT", "/tenants/yard/zones/yard.test.", {"text": ZONE.format(1)})
+        depot.files.fail.add("sync")
+        for method, path, data in (
+            ("PATCH", "/tenants/yard", {"quota_per_s": 9}),
+            ("PUT", "/tenants/yard/zones/yard.test.", {"text": ZONE.format(2)}),
+            ("DELETE", "/tenants/yard", None),
+            ("POST", "/tenants", {"name": "new"}),
+            ("PUT", "/drains/c0", {}),
+        ):
+            status, text = await depot.call(method, path, data)
+            assert status == 503 and "not done" in str(text)
+        tenant = depot.tenants.tenants["yard"]
+        assert list(depot.tenants.tenants) == ["yard"] and tenant.quota.per_s == 5
+        assert [z.data.get_soa().serial for z in tenant.zones.values()] == [1]
+        assert depot.core.members.ready("c0")
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_power_lost_in_the_middle_of_calls_leaves_each_done_or_not(seed: int) -> None:
+    from tests.faulty_files import Crash
+
+    async def play() -> None:
+        rng, files = random.Random(seed), FaultyFiles()
+        depot, acknowledged = Depot(files), set[str]()
+        files.crash_at = files.calls + rng.randrange(2, 40)
+        trying = ""
+        try:
+            for n in range(20):
+                trying = f"t{n}"
+                task = depot.call("POST", "/tenants", {"name": trying, "token": f"token-of-tenant-{n:03d}"})
+                done = await asyncio.wait_for(task, 5)
+                assert done[0] == 201
+                acknowledged.add(trying)
+        except (Crash, TimeoutError, Failed, Full):
+            pass
+        again = Depot(files.after_crash(rng))
+        found = set(again.tenants.tenants)
+        assert acknowledged <= found <= acknowledged | {trying}
+        assert all(t.token for t in again.tenants.tenants.values()), "whole, with its token"
+
+    asyncio.run(play())
+
+
+# ---- bookings -------------------------------------------------------------------------------------------
+
+
+def test_a_bookings_intent_is_durable_before_it_is_sent_and_it_is_never_sent_again() -> None:
+    sent: list[str] = []
+
+    async def play() -> None:
+        files = FaultyFiles()
+        depot = Depot(files, bookings=True)
+
+        class Origin:
+            async def run(self, order: Order) -> Outcome:
+                kept = files.after_crash(random.Random(1))
+                intents = [k for k in _durable(kept).engine.keys("booking/")]
+                assert intents == [f"booking/{order.request.id}"], "durable before the first byte"
+                sent.append(order.request.id)
+                return Outcome(i.Status.OK, body=b"done")
+
+        depot.core.transport = Origin()
+        request = Request("b" * 16, "save", "0" * 16, 0, None, depot.core.now(), 3 * S)
+        answers: list[Answer] = []
+        await depot.core.serve(request, answers.append)
+        assert [a.verdict for a in answers] == [Verdict.SERVED] and sent == ["b" * 16]
+        await depot.durable.close()
+        assert not list(_durable(files.copy()).engine.keys("booking/")), "ended, so forgotten"
+
+        open_ = FaultyFiles()
+        before = Depot(open_, bookings=True)
+        await before.durable.intend("c" * 16, 1)
+        again = Depot(open_.after_crash(random.Random(3)), bookings=True)
+        answers.clear()
+        twice = Request("c" * 16, "save", "0" * 16, 0, None, again.core.now(), 3 * S)
+        await again.core.serve(twice, answers.append)
+        assert [a.verdict for a in answers] == [Verdict.FAILED] and sent == ["b" * 16]
+
+    asyncio.run(play())
