--- a/onyxwick/cli/store.py
+++ b/onyxwick/cli/store.py
@@ -242,3 +242,19 @@
     from onyxwick.store.sealing import new_key as made
 
     click.echo(made())
+
+
+@store.command()
+@click.option(
+    "--folder", type=click.Path(path_type=Path, file_okay=False), help="Where: the disk to measure."
+)
+@click.option("--seconds", default=3.0, show_default=True, help="Of each row.")
+@click.option("--records", default=1_000_000, show_default=True)
+def bench(folder: Path | None, seconds: float, records: int) -> None:
+    """Commits a second beside sqlite3, opening, write amplification, as JSON lines."""
+    from onyxwick.lab.storage import amplification, commits, opening
+
+    for row in commits(folder, seconds):
+        click.echo(json.dumps(row))
+    click.echo(json.dumps(opening(folder, records)))
+    click.echo(json.dumps(amplification(folder, 200_000)))
