Lab: a restart with the coordinator out of reach, with a store and without

The cost of a trace is now measured against a director that could write one and does not, as reading a service file costs at the start alone.

--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -60,10 +60,20 @@
 @click.option("--cells/--no-cells", default=True, show_default=True)
 @click.option("--fault", help="The way to misbehave that is played; none without it.")
 @click.option("--slot", type=click.IntRange(0, 99), default=0, help="Keeps apart what runs at once.")
+@click.option("--store/--no-store", default=False, help="The director keeps a store.")
 @click.option("--trace", type=click.Path(path_type=Path), help="A folder for the directors' traces.")
+@click.option("--idle", is_flag=True, help="A trace could be written and is not.")
 @click.option("--program", type=click.Path(path_type=Path), help="The tree of another revision.")
 def play(
-    file: Path, seed: int, cells: bool, fault: str | None, slot: int, trace: Path | None, program: Path | None
+    file: Path,
+    seed: int,
+    cells: bool,
+    fault: str | None,
+    slot: int,
+    store: bool,
+    trace: Path | None,
+    idle: bool,
+    program: Path | None,
 ) -> None:
     """Play one variant of the scenario FILE once; its report as JSON, exit 1 where a rule broke."""
     import uvloop
@@ -77,7 +87,7 @@
 
     async def once() -> dict[str, Any]:
         run = Run(scenario, seed, cells, fault, slot)
-        run.program, run.trace = program, trace
+        run.program, run.trace, run.store, run.idle = program, trace, store, idle
         return await run.play()
 
     report = uvloop.run(once())
--- a/onyxwick/config/fields.py
+++ b/onyxwick/config/fields.py
@@ -13,7 +13,7 @@
 UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "min": 60_000_000, "h": 3_600_000_000}
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?) ?([a-z]+)").fullmatch
 NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}").fullmatch
-_MISSING = object()
+MISSING = object()
 
 
 class Fields:
@@ -36,28 +36,28 @@
         value = self.block.attributes.get(name)
         if value is not None and value.data is not None:
             return value.plain()
-        if default is _MISSING:
+        if default is MISSING:
             raise self.error(name, "is missing")
-        return _MISSING
+        return MISSING
 
-    def text(self, name: str, default: Any = _MISSING) -> str:
+    def text(self, name: str, default: Any = MISSING) -> str:
         value = self._get(name, default)
-        if value is _MISSING:
+        if value is MISSING:
             return str(default)
         if not isinstance(value, str):
             raise self.error(name, f'expected a text, found {value!r}; did you mean "{value}"?')
         return value
 
-    def name(self, name: str, default: Any = _MISSING) -> str:
+    def name(self, name: str, default: Any = MISSING) -> str:
         """A name of small letters, digits and hyphens."""
         value = self.text(name, default)
         if value and not NAME(value):
             raise self.error(name, f"{value!r} is no name of small letters, digits and hyphens")
         return value
 
-    def number(self, name: str, least: float, most: float, default: Any = _MISSING) -> float:
+    def number(self, name: str, least: float, most: float, default: Any = MISSING) -> float:
         value = self._get(name, default)
-        if value is _MISSING:
+        if value is MISSING:
             return float(default)
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise self.error(name, f"expected a number, found {value!r}")
@@ -65,23 +65,23 @@
             raise self.error(name, f"{value:g} is not between {least:g} and {most:g}")
         return float(value)
 
-    def whole(self, name: str, least: int, most: int, default: Any = _MISSING) -> int:
+    def whole(self, name: str, least: int, most: int, default: Any = MISSING) -> int:
         value = self.number(name, least, most, default)
         if value != int(value):
             raise self.error(name, f"{value:g} is no whole number")
         return int(value)
 
-    def share(self, name: str, default: Any = _MISSING) -> float:
+    def share(self, name: str, default: Any = MISSING) -> float:
         """A part of one: 0 to 1."""
         value = self._get(name, default)
         if isinstance(value, int | float) and 1 < value <= 100:
             raise self.error(name, f"a share lies between 0 and 1; did you mean {value / 100:g}?")
         return self.number(name, 0, 1, default)
 
-    def duration(self, name: str, least_us: int, most_us: int, default: Any = _MISSING) -> int:
+    def duration(self, name: str, least_us: int, most_us: int, default: Any = MISSING) -> int:
         """A text with a unit, as "500ms", in microseconds."""
         value = self._get(name, default)
-        if value is _MISSING:
+        if value is MISSING:
             return int(default)
         if isinstance(value, int | float) and not isinstance(value, bool):
             raise self.error(name, f'{value:g} has no unit; did you mean "{value:g}ms" (or "{value:g}s")?')
@@ -98,23 +98,23 @@
             raise self.error(name, f"{value} is not between {spoken(least_us)} and {spoken(most_us)}{hint}")
         return out
 
-    def flag(self, name: str, default: Any = _MISSING) -> bool:
+    def flag(self, name: str, default: Any = MISSING) -> bool:
         value = self._get(name, default)
-        if value is _MISSING:
+        if value is MISSING:
             return bool(default)
         if not isinstance(value, bool):
             raise self.error(name, f"expected true or false, found {value!r}")
         return value
 
-    def choice(self, name: str, known: Iterable[str], default: Any = _MISSING) -> str:
+    def choice(self, name: str, known: Iterable[str], default: Any = MISSING) -> str:
         value, words = self.text(name, default), list(known)
         if value not in words:
             raise self.error(name, f"{value!r} is none of {', '.join(words)}{guess(value, words)}")
         return value
 
-    def texts(self, name: str, default: Any = _MISSING) -> list[str]:
+    def texts(self, name: str, default: Any = MISSING) -> list[str]:
         value = self._get(name, default)
-        if value is _MISSING:
+        if value is MISSING:
             return list(default)
         if isinstance(value, str):
             raise self.error(name, f'expected a list; did you mean ["{value}"]?')
--- a/onyxwick/lab/clients.py
+++ b/onyxwick/lab/clients.py
@@ -165,6 +165,7 @@
         self.tallies: dict[str, Tally] = {}
         self.mute: set[str] = set()  # tenants whose clients do not read
         self.twice = 0
+        self.unreached: list[int] = []  # when no connection came up
         self.crashes: dict[int, int] = {}  # director: when it was last killed
 
     async def _connection(self, tenant: str, director: int, address: Address) -> Connection | None:
@@ -224,6 +225,7 @@
     ) -> Reply:
         connection = await self._connection(arrival.tenant, director, address)
         if connection is None:
+            self.unreached.append(self.clock())
             return Reply("failed")
         request, group = f"{self.random.getrandbits(64):016x}", self.group(arrival.object)
         params = {
--- a/onyxwick/lab/compare.py
+++ b/onyxwick/lab/compare.py
@@ -12,23 +12,26 @@
 from onyxwick.lab.model import Scenario
 
 CALM = "calm"
-Variant = tuple[str, bool, str | None]  # name, with cells, the fault that is played
+Variant = tuple[str, bool, str | None, bool]  # name, with cells, the fault that is played, with a store
 
 
 def variants(scenario: Scenario) -> list[Variant]:
     """What a scenario is played as: with and without cells, with and without what misbehaves."""
     kinds = [("cells", True), ("whole", False)] if scenario.service else [("whole", False)]
     if faults := scenario.faults:
-        return [(f"{n}-{f or CALM}", c, f) for n, c in kinds for f in (None, *faults)]
-    return [(name, cells, None) for name, cells in kinds]
+        return [(f"{n}-{f or CALM}", c, f, False) for n, c in kinds for f in (None, *faults)]
+    if scenario.store:
+        return [("lasting", scenario.service is not None, None, True), ("forgetful", False, None, False)]
+    return [(name, cells, None, False) for name, cells in kinds]
 
 
 def _play(path: Path, seed: int, variant: Variant, slot: int) -> dict[str, Any]:
-    _, cells, misbehaves = variant
+    _, cells, misbehaves, store = variant
     words = ["--cells" if cells else "--no-cells", *(["--fault", misbehaves] if misbehaves else [])]
+    words += ["--store"] if store else []
     command = [sys.executable, "-m", "onyxwick", "lab", "play", str(path), "--seed", str(seed), *words]
     done = subprocess.run([*command, "--slot", str(slot)], capture_output=True, text=True, check=False)
-    if done.returncode not in (0, 1):
+    if done.returncode not in (0, 1) or not done.stdout:
         raise RuntimeError(f"{variant[0]}, seed {seed}: {done.stderr[-2000:]}")
     out = json.loads(done.stdout)
     assert isinstance(out, dict)
@@ -77,6 +80,8 @@
         for name, run in played.items():
             row[f"service_{name}"] = round(_service(run, apart), 4)
             row[f"beside_{name}"] = round(_service(run, beside), 4)
+            if run["full_after_s"] is not None:
+                row[f"full_after_s_{name}"] = run["full_after_s"]
             if shifts := run["shifts"]:
                 row[f"moved_{name}"] = round(_service(run, set(shifts)), 4)
                 row[f"over_{name}"] = min(shares[-2] for shares in shifts.values())  # the last whole window
@@ -86,7 +91,9 @@
                 bad = row[f"service_{kind}-{fault}"]
                 row[f"loss_{kind}-{fault}"] = round((calm - bad) / calm, 4)
         rows.append(row)
+    # Without its store a director is expected to forget: that shows what the store is for.
     broken = {f"{r['variant']}/{r['seed']}": r["broken"] for r in runs if r["broken"]}
+    forgot = {name: broken.pop(name) for name in list(broken) if name.startswith("forgetful/")}
     return {
         "scenario": scenario.name,
         "apart": sorted(apart),
@@ -94,6 +101,7 @@
         "seeds": rows,
         "audited": sum(run["audited"] for run in runs),
         "broken": broken,
+        "forgetful": forgot,
         "unmet": unmet(scenario, rows, broken),
     }
 
--- a/onyxwick/lab/cost.py
+++ b/onyxwick/lab/cost.py
@@ -183,8 +183,8 @@
             rows.append(
                 {
                     "on": _one(path, seed + n, trace=Path(folder)),
-                    "off": _one(path, seed + n),
-                    "again": _one(path, seed + n),
+                    "off": _one(path, seed + n, trace=Path(folder), idle=True),
+                    "again": _one(path, seed + n, trace=Path(folder), idle=True),
                 }
             )
     return {"runs": rows, "on": _ratios(rows, "on", "off"), "noise": _ratios(rows, "again", "off")}
@@ -203,10 +203,13 @@
     return out
 
 
-def _one(path: Path, seed: int, program: Path | None = None, trace: Path | None = None) -> dict[str, Any]:
+def _one(
+    path: Path, seed: int, program: Path | None = None, trace: Path | None = None, idle: bool = False
+) -> dict[str, Any]:
     words = [sys.executable, "-m", "onyxwick", "lab", "play", str(path), "--seed", str(seed), "--no-cells"]
     words += ["--program", str(program)] if program else []
     words += ["--trace", str(trace)] if trace else []
+    words += ["--idle"] if idle else []
     done = subprocess.run(words, capture_output=True, text=True, check=False)
     if done.returncode not in (0, 1):
         raise RuntimeError(done.stderr[-2000:])
--- a/onyxwick/lab/machines.py
+++ b/onyxwick/lab/machines.py
@@ -249,6 +249,7 @@
         self.events: list[bytes] = []
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
+        self.clients: set[asyncio.Task[None]] = set()
 
     def tell(self, line: bytes) -> None:
         self.events.append(line)
@@ -258,7 +259,25 @@
     async def listen(self) -> None:
         self.server = await asyncio.start_server(self._client, *self.address)
 
+    async def mute(self) -> None:
+        """Out of reach: nothing is heard of it, and nobody gets through."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for task in list(self.clients):
+            task.cancel()
+
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.clients.add(task)
+        try:
+            await self._feed(reader, writer)
+        finally:
+            self.clients.discard(task)
+            writer.transport.abort()
+
+    async def _feed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, ValueError, asyncio.CancelledError):
             last = int((await reader.readline()).split()[1])
             while True:
@@ -270,4 +289,3 @@
                 await writer.drain()
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(changed.wait(), 1.0)
-        writer.close()
--- a/onyxwick/lab/model.py
+++ b/onyxwick/lab/model.py
@@ -64,7 +64,7 @@
 @dataclass(frozen=True, slots=True)
 class Happening:
     """Something that is done at a time: purge GROUP, drain ID, lift ID, kill ID, start ID, service FILE,
-    crash N (director N is killed and started again)."""
+    crash N (director N is killed and started again), mute and unmute (the coordinator), api METHOD PATH."""
 
     at_us: int
     what: str
@@ -84,6 +84,7 @@
     loads: tuple[Load, ...]
     happenings: tuple[Happening, ...]
     service: Path | None  # with cells
+    store: bool  # played with a store and without
     told_after_us: int  # the coordinator's delay
     purge_done_us: int  # by when all machines have done a purge
     warm_objects: int  # of each tenant, kept by every box and parent from the start
--- a/onyxwick/lab/play.py
+++ b/onyxwick/lab/play.py
@@ -25,11 +25,13 @@
 from onyxwick.lab.copies import Copy
 from onyxwick.lab.machines import Coordinator, Machine, World
 from onyxwick.lab.model import Happening, Scenario, Tier
+from onyxwick.store.sealing import new_key
 
 GROUPS = 64
 ZONE = "depot-1"
 READY_S, END_S = 20.0, 12.0  # for a director to be ready, to end
 SETTLE_S = 0.3
+TOKEN = "operator-token-of-the-lab"
 
 
 def unix_us() -> int:
@@ -105,6 +107,9 @@
         self.scenario, self.seed, self.misbehaves = scenario, seed, misbehaves
         self.service = scenario.service if cells else None
         self.base = f"127.{100 + slot}"
+        self.store = False  # the director keeps one
+        self.idle = False  # a trace could be written and is not
+        self.first_events = 0  # told before the first start
         self.trace: Path | None = None  # a folder for the directors' traces
         self.program: Path | None = None  # the tree of another revision whose director is played
         self.world = World(scenario.classes, unix_us, GROUPS)
@@ -176,7 +181,7 @@
             "seed": f"{self.seed * 1000 + n:x}",
             "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024},
             "coordinator": f"{self.coordinator.address[0]}:{self.coordinator.address[1]}",
-            "known": {"index": self.index, "updates": [json.loads(e) for e in self.coordinator.events]},
+            "known": self._known(),
             "settings": {**settings(self.scenario), "self_index": n},
         }
         path = self.folder / f"director-{n}.json"
@@ -202,6 +207,41 @@
                     return
                 await asyncio.sleep(0.05)
 
+    def _known(self) -> dict[str, Any]:
+        """What the platform's file tells at a start. With the coordinator out of reach it is an old one."""
+        reached = self.index if self.coordinator.server is not None else self.first_events
+        return {"index": reached, "updates": [json.loads(e) for e in self.coordinator.events[:reached]]}
+
+    def _write_service(self) -> None:
+        """The service file: the scenario's, with what the run adds to it."""
+        text = self.service.read_text() if self.service else ""
+        if self.trace is not None:
+            on = "false" if self.idle else "true"
+            text += f'\ntrace {{\n  folder = "{self.trace.resolve()}"\n  on = {on}\n}}\n'
+        if self.scenario.store:
+            (self.folder / "operator.token").write_text(TOKEN)
+            text += f'\nadmin {{\n  listen = "{self.base}.8.1:8053"\n  token_file = "operator.token"\n}}\n'
+        if self.store:
+            (self.folder / "store.keys").write_text(new_key())
+            text += '\nstore {\n  folder = "store"\n  key_file = "store.keys"\n  installation = "lab"\n'
+            text += "  bookings = true\n}\n"
+        if text:
+            self._service_file().write_text(text)
+
+    async def _api(self, call: str) -> None:
+        """One call of the administration API; an operator's drain counts as told with its answer."""
+        method, path = call.split(" ")
+        reader, writer = await asyncio.open_connection(f"{self.base}.8.1", 8053)
+        body = "{}" if method == "PUT" else ""
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: lab\r\nAuthorization: Bearer {TOKEN}\r\nConnection: close\r\n"
+        )
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode())
+        status = (await reader.readline()).split()[1]
+        writer.close()
+        if path.startswith("/drains/") and method == "PUT" and status == b"200":
+            self.world.records.drained.append((path.rpartition("/")[2], unix_us(), 0))
+
     def _service_file(self) -> Path:
         return self.folder / "service.hcl"
 
@@ -211,7 +251,6 @@
         self.clients.crashes[n] = unix_us()
         program.kill()
         await program.communicate()
-        self.clients.crashes[n] = unix_us()
         await self._director(n)
 
     async def _end_directors(self) -> None:
@@ -256,6 +295,12 @@
                 shutil.copy(self.service.parent / event.name, self._service_file())
                 for program in self.programs:
                     program.send_signal(signal.SIGHUP)
+            case "mute":
+                await self.coordinator.mute()
+            case "unmute":
+                await self.coordinator.listen()
+            case "api":
+                await self._api(event.name)
             case "crash" if event.name.isdigit() and int(event.name) < len(self.programs):
                 await self._crash(int(event.name))
 
@@ -301,16 +346,13 @@
         """Play it and judge it; everything that was started ends with it."""
         self._machines()
         self._fill_stores()
-        if self.service:
-            shutil.copy(self.service, self._service_file())
-        if self.trace is not None:
-            with self._service_file().open("a") as out:
-                out.write(f'\ntrace {{\n  folder = "{self.trace.resolve()}"\n  on = true\n}}\n')
+        self._write_service()
         await self.coordinator.listen()
         for machine in self.world.machines.values():
             await machine.listen()
         self._list([self._row(m, "SERVING") for m in self.world.machines.values()], full=True)
         events: list[asyncio.Task[None]] = []
+        self.first_events = self.index
         try:
             for n in range(self.scenario.directors):
                 await self._director(n)
@@ -378,6 +420,22 @@
                 window[1] += 1
         return [round(new / both, 3) for _, (new, both) in sorted(counts.items())]
 
+    def _full_after(self) -> float | None:
+        """Seconds from the last kill of a director to the first second served as the ones before it."""
+        killed = max(self.clients.crashes.values(), default=0)
+        if not killed:
+            return None
+        taken = [t for t in self.world.records.taken.values() if t.verdict]
+        before = [t for t in taken if killed - 3_000_000 < t.sent_us < killed - 200_000]
+        usual = sum(t.verdict == "served" for t in before) / max(1, len(before))
+        for second in range(30):
+            begin = killed + second * 500_000
+            rows = [t.verdict == "served" for t in taken if begin <= t.sent_us < begin + 1_000_000]
+            rows += [False for at in self.clients.unreached if begin <= at < begin + 1_000_000]
+            if len(rows) > 5 and sum(rows) / len(rows) >= 0.98 * usual:
+                return second * 0.5
+        return -1.0
+
     def _report(self, findings: Findings) -> dict[str, Any]:
         if self.clients.twice:
             findings.add("one answer", answers_twice=self.clients.twice)
@@ -386,6 +444,8 @@
         report = {
             "seed": self.seed,
             "cells": self.service is not None,
+            "store": self.store,
+            "full_after_s": self._full_after(),
             "misbehaves": self.misbehaves,
             "audited": findings.audited,
             "attempts": len(self.world.records.sends),
--- a/onyxwick/lab/scenario.py
+++ b/onyxwick/lab/scenario.py
@@ -6,13 +6,13 @@
 
 from onyxwick import interface as i
 from onyxwick.config import ConfigError, hcl
-from onyxwick.config.fields import Fields
+from onyxwick.config.fields import MISSING, Fields
 from onyxwick.lab.model import Fault, Happening, Job, Load, Scenario, Tier
 
 MINUTE = 60_000_000
 REPEATS = {"free": i.Repeat.SAFE, "once": i.Repeat.UNSAFE}
 MOST_EXTENDED = 4  # files over each other
-WHAT = ("purge", "drain", "lift", "kill", "start", "service", "crash")
+WHAT = ("purge", "drain", "lift", "kill", "start", "service", "crash", "mute", "unmute", "api")
 
 
 def _tier(row: Fields, start: float, rise_us: int, multiple: float) -> Tier:
@@ -89,7 +89,7 @@
 
 def _happening(row: Fields) -> Happening:
     at, what = row.duration("at", 0, 10 * MINUTE), row.choice("what", WHAT)
-    out = Happening(at, what, row.text("name"))
+    out = Happening(at, what, row.text("name", "" if what in ("mute", "unmute") else MISSING))
     row.done()
     return out
 
@@ -140,11 +140,14 @@
         loads=tuple(_load(row, names) for row in top.blocks("tenant", 1)),
         happenings=tuple(_happening(row) for row in top.blocks("happens")),
         service=path.parent / service if service else None,
+        store=head.flag("store", False),
         told_after_us=head.duration("told_after", 0, MINUTE, 200_000),
         purge_done_us=head.duration("purge_done", 0, MINUTE, 6_000_000),
         warm_objects=head.whole("warm_objects", 0, 100_000, 0),
         bounds=tuple((name, float(value.data)) for name, value in bounds.items()),
     )
+    if out.store and out.directors > 1:
+        raise head.error("store", "a store is one director's: it wants directors = 1")
     head.done()
     top.done()
     return out
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -138,7 +138,15 @@
 
     def run(variant: str, service: float) -> dict[str, object]:
         rows = {load.name: {"worth_asked": 1.0, "service": service} for load in told.loads}
-        base = {"variant": variant, "seed": 1, "tenants": rows, "audited": 1, "broken": {}, "shifts": {}}
+        base = {
+            "variant": variant,
+            "seed": 1,
+            "tenants": rows,
+            "audited": 1,
+            "broken": {},
+            "shifts": {},
+            "full_after_s": None,
+        }
         return {**base}
 
     service = {"cells-unique": 0.98, "whole-unique": 0.95}
