--- a/onyxwick/lab/play.py
+++ b/onyxwick/lab/play.py
@@ -109,6 +109,7 @@
         self.base = f"127.{100 + slot}"
         self.store = False  # the director keeps one
         self.idle = False  # a trace could be written and is not
+        self.killed = 0  # when a director was, the last time
         self.first_events = 0  # told before the first start
         self.trace: Path | None = None  # a folder for the directors' traces
         self.program: Path | None = None  # the tree of another revision whose director is played
@@ -248,9 +249,10 @@
     async def _crash(self, n: int) -> None:
         """Killed outright, and started again with no memory."""
         program = self.programs[n]
-        self.clients.crashes[n] = unix_us()
+        self.killed = unix_us()
         program.kill()
         await program.communicate()
+        self.clients.crashes[n] = unix_us()  # until it was gone it may have taken requests
         await self._director(n)
 
     async def _end_directors(self) -> None:
@@ -422,7 +424,7 @@
 
     def _full_after(self) -> float | None:
         """Seconds from the last kill of a director to the first second served as the ones before it."""
-        killed = max(self.clients.crashes.values(), default=0)
+        killed = self.killed
         if not killed:
             return None
         taken = [t for t in self.world.records.taken.values() if t.verdict]
