Lab: directors killed in the middle of API calls

Crashes over a simulated disk do not show the program's own start and end. onyxwick lab kills ends real directors with SIGKILL while tenants, zones, quotas and drains are changed, starts them again on the same store, and asks again what got no answer, with its key.

--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -155,3 +155,24 @@
 
     for cells, span in ((16, 1), (16, 2), (16, 4), (64, 1), (64, 2)):
         click.echo(json.dumps(measured(cells, span, boxes, tenants)))
+
+
+@lab.command()
+@path_argument
+@click.option("--count", default=25, show_default=True, help="Kills of each director.")
+@click.option("--at-once", default=4, show_default=True, help="Directors, each with a store of its own.")
+@click.option("--seed", default=1, show_default=True)
+def kills(file: Path, count: int, at_once: int, seed: int) -> None:
+    """Kill directors in the middle of API calls; exit 1 where anything is half done or lost."""
+    from concurrent.futures import ThreadPoolExecutor
+
+    from onyxwick.lab.kills import kills as run_kills
+    from onyxwick.lab.scenario import read
+
+    scenario = read(file)
+    with ThreadPoolExecutor(at_once) as pool:
+        rows = list(pool.map(lambda n: run_kills(scenario, count, seed + n, n), range(at_once)))
+    for row in rows:
+        click.echo(json.dumps(row))
+    if any(row["wrong"] for row in rows):
+        raise click.exceptions.Exit(1)
