--- a/onyxwick/lab/kills.py
+++ b/onyxwick/lab/kills.py
@@ -61,9 +61,14 @@
             "updates": [{"index": 1, "endpoints": {"version": 1, "full": True, "servers": rows}}],
         }
         told = {
-            "name": "n0", "listen": f"{base}.1.1:5050", "seed": "1",
-            "limits": {"sockets": 256, "memory_mb": 192}, "coordinator": f"{base}.9.1:7070", "known": known, "settings": settings(scenario),
-        }  # fmt: skip
+            "name": "n0",
+            "listen": f"{base}.1.1:5050",
+            "seed": "1",
+            "limits": {"sockets": 256, "memory_mb": 192},
+            "coordinator": f"{base}.9.1:7070",
+            "known": known,
+            "settings": settings(scenario),
+        }
         (self.folder / "director.json").write_text(json.dumps(told))
         (self.folder / "operator.token").write_text(TOKEN)
         (self.folder / "store.keys").write_text(new_key())
