Lab: crashed directors keep their trace, and what they had taken is excused

A service file put in on the way dropped the trace block, so that restarted directors wrote none; and requests whose connection broke before the kill had ended were called unanswered.

--- a/onyxwick/lab/play.py
+++ b/onyxwick/lab/play.py
@@ -213,9 +213,9 @@
         reached = self.index if self.coordinator.server is not None else self.first_events
         return {"index": reached, "updates": [json.loads(e) for e in self.coordinator.events[:reached]]}
 
-    def _write_service(self) -> None:
+    def _write_service(self, source: Path | None) -> None:
         """The service file: the scenario's, with what the run adds to it."""
-        text = self.service.read_text() if self.service else ""
+        text = source.read_text() if source else ""
         if self.trace is not None:
             on = "false" if self.idle else "true"
             text += f'\ntrace {{\n  folder = "{self.trace.resolve()}"\n  on = {on}\n}}\n'
@@ -250,9 +250,10 @@
         """Killed outright, and started again with no memory."""
         program = self.programs[n]
         self.killed = unix_us()
+        self.clients.crashes[n] = 1 << 62  # whatever it has taken until it is gone
         program.kill()
         await program.communicate()
-        self.clients.crashes[n] = unix_us()  # until it was gone it may have taken requests
+        self.clients.crashes[n] = unix_us()
         await self._director(n)
 
     async def _end_directors(self) -> None:
@@ -294,7 +295,7 @@
                 await asyncio.sleep(self.scenario.told_after_us / 1e6)
                 self._list([self._row(machine, "SERVING")])
             case "service" if self.service:
-                shutil.copy(self.service.parent / event.name, self._service_file())
+                self._write_service(self.service.parent / event.name)
                 for program in self.programs:
                     program.send_signal(signal.SIGHUP)
             case "mute":
@@ -348,7 +349,7 @@
         """Play it and judge it; everything that was started ends with it."""
         self._machines()
         self._fill_stores()
-        self._write_service()
+        self._write_service(self.service)
         await self.coordinator.listen()
         for machine in self.world.machines.values():
             await machine.listen()
