--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -152,6 +152,15 @@
         loop.add_signal_handler(signal.SIGINT, self.leaving.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if self.service is not None and self.service.trace is not None:
+            # Before it serves: without a handler the signal would end the program.
+            self.trace_until = float("inf") if self.service.trace.on else 0.0
+            loop.add_signal_handler(signal.SIGUSR2, self._want_trace, self.service.trace.for_us / 1e6)
+
+    trace_until = 0.0  # of the loop's clock: a trace is written until then
+
+    def _want_trace(self, for_s: float) -> None:
+        self.trace_until = max(self.trace_until, asyncio.get_running_loop().time() + for_s)
 
     def reload(self) -> None:
         """Read the configuration again, whole; one that cannot be used changes nothing.
@@ -230,22 +239,15 @@
             asyncio.get_running_loop(),
             Bounds(told.file_bytes, told.file_us / 1e6, told.total_bytes),
         )
-        until = float("inf") if told.on else 0.0
-
-        def wanted() -> None:
-            nonlocal until
-            until = max(until, loop.time() + told.for_us / 1e6)
-
-        loop.add_signal_handler(signal.SIGUSR2, wanted)
         core = self.core
         try:
             while True:
-                if core.watch is None and loop.time() < until:
+                if core.watch is None and loop.time() < self.trace_until:
                     now = core.now()
                     core.watch = Watch(core.settings, self.config.name, told.folder, bounds, now)
                     core.watch.listed(now, self.members.listed.values())
                     log.info("trace begun", folder=str(told.folder))
-                elif core.watch is not None and loop.time() >= until:
+                elif core.watch is not None and loop.time() >= self.trace_until:
                     self._end_trace()
                 await asyncio.sleep(TRACE_TICK_S)
                 if core.watch is not None:
--- /dev/null
+++ b/tests/exchanges/trace.hcl
@@ -0,0 +1,5 @@
+trace {
+  folder     = "trace"
+  on         = false
+  signal_for = "30s"
+}
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import signal
 from collections.abc import Callable
 from pathlib import Path
 from typing import BinaryIO
@@ -31,6 +32,7 @@
 from onyxwick.trace.sink import Bounds, Disk, Sink
 from onyxwick.trace.summary import Summary
 from onyxwick.trace.table import Strings, Table, join
+from tests.exchange import Exchange
 
 S = 1_000_000
 HEADER = f.Header((1, 0), "n0", "ab", START, 0, CLASSES, RULES)
@@ -502,3 +504,25 @@
     assert [f"{r['id']:016x}" for r in back] == [r["id"] for r in rows]
     assert [len(r["attempts"]) for r in back] == [len(r["attempts"]) for r in rows]
     assert back[0]["attempts"][0]["member"] == rows[0]["attempts"][0]["member"]
+
+
+def test_sigusr2_switches_a_trace_on_in_the_real_program(tmp_path: Path) -> None:
+    """Off it writes nothing; a signal later the same request is in it, whole, and the rules can be judged."""
+    exchange = Exchange(tmp_path, "trace.hcl")
+    try:
+        assert not (tmp_path / "trace").exists()
+        exchange.program.send_signal(signal.SIGUSR2)
+        exchange._until("trace begun")
+        exchange.play("served.txt")
+    finally:
+        exchange.stop()
+    (path,) = (tmp_path / "trace").glob("*.owt")
+    ids, trace = _ids(path)
+    assert ids == [0x9B1F03AA5C7E2D41, 0x9B1F03AA5C7E2D42] and trace.indexed
+    with open_trace(path) as again:
+        (table,) = [
+            t for t in cut(again, Wanted(request="9b1f03aa5c7e2d41"), Strings(), told=False) if len(t)
+        ]
+    story = "\n".join(explain(table, 0))
+    assert "c0 was chosen, the first box" in story and "filled from p0 at rank 1" in story
+    assert "It was served" in story and not _judged(path).report().broken
