--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -176,3 +176,17 @@
         click.echo(json.dumps(row))
     if any(row["wrong"] for row in rows):
         raise click.exceptions.Exit(1)
+
+
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--directors", default=3, show_default=True)
+@click.option("--rate", default=170.0, show_default=True, help="Requests a second at each director.")
+@click.option("--seconds", default=3600, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def traces(folder: Path, directors: int, rate: float, seconds: int, seed: int) -> None:
+    """Write stand-in traces of directors whose clocks disagree to FOLDER."""
+    from onyxwick.lab.traces import make
+
+    stand = make(folder, directors, rate, seconds, seed)
+    click.echo(json.dumps({"requests": stand.requests, "files": [path.name for path in stand.paths]}))
