A second kill before the feed is heard forgets no recorded drain

Found on reading the change once more: the list of a start, which may be old, deleted the recorded drains of the coordinator and put the recorded number of the feed back, so that a director killed twice while the coordinator was out of reach forgot them. They are lifted only once the feed has been heard, and the number never falls.

--- a/onyxwick/store/durable.py
+++ b/onyxwick/store/durable.py
@@ -21,7 +21,7 @@
 from onyxwick.store.engine import Engine, Limits, Op, Transaction
 from onyxwick.store.errors import Refused, StoreError
 from onyxwick.store.files import Files
-from onyxwick.store.recovery import Drain, Purge, Recovery
+from onyxwick.store.recovery import Drain, Phase, Purge, Recovery
 from onyxwick.store.sealing import Sealer
 from onyxwick.tenants import Tenant, Tenants, read_key, read_zone
 
@@ -218,7 +218,8 @@
             by = unpack(f"drain/{m.address}", held)["by"] if held else ""
             if m.state is not i.State.READY and not held:
                 ops.append(self.drain_op(Drain(m.address, "coordinator", m.since_us, "", now)))
-            elif m.state is i.State.READY and by == "coordinator":
+            elif m.state is i.State.READY and by == "coordinator" and self.recovery.phase is Phase.SERVING:
+                # Not before the feed is heard: the list of a start may be older than what is recorded.
                 ops.append(Op(f"drain/{m.address}", None))
         self._later(ops)
 
@@ -227,8 +228,11 @@
 
     def index_told(self, index: int, now: int) -> bool:
         """The feed has been heard up to a number; True where that ends the recovery's checking."""
-        self._later([self.feed_op(index)])
-        return self.recovery.heard(now, index)
+        ended = self.recovery.heard(now, index)
+        if index > self.recovery.reached:  # a start tells old numbers once more
+            self.recovery.reached = index
+            self._later([self.feed_op(index)])
+        return ended
 
     def _later(self, ops: list[Op]) -> None:
         """Recorded as soon as the disk has it; the coordinator can tell it again, so nobody waits."""
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -265,6 +265,29 @@
     asyncio.run(play())
 
 
+def test_a_second_kill_before_the_feed_is_heard_forgets_no_drain() -> None:
+    """The list of a start is old: it must neither lift what is recorded nor put the feed's number back."""
+
+    async def play() -> None:
+        depot = Depot(FaultyFiles())
+        depot.core.heard(9)
+        drained = i.MembersChanged(i.ListKind.CHANGE, (replace(CACHES[0], state=i.State.DRAINING),))
+        depot.core.list_changed(drained, ADDRESSES)
+        await asyncio.gather(*depot.durable.notes)
+        for seed in range(3):  # each time up with the old list, in which all are ready, and killed again
+            depot = Depot(depot.files.after_crash(random.Random(seed)))
+            depot.core.heard(1)
+            await asyncio.gather(*depot.durable.notes)
+            assert depot.durable.recovery.reached == 9
+            assert not depot.core.members.ready("c0") and depot.core.members.ready("c1")
+        depot.core.heard(10)
+        assert depot.core.members.ready("c0"), "the feed is past it and has not drained it again"
+        await asyncio.gather(*depot.durable.notes)
+        assert not list(depot.durable.engine.keys("drain/"))
+
+    asyncio.run(play())
+
+
 # ---- bookings -------------------------------------------------------------------------------------------
 
 
