Serve on the listening socket the platform hands down; halve the bounds for two processes

Design: a descriptor in RELAY_LISTEN_FD is taken as the listening socket, checked to be a listening TCP socket over IPv4 (else the start ends with 2, naming the variable and the likely intent), never bound and never closed. On SIGTERM the program takes no further connection from it at once: the successor accepts on the same socket. While two processes can overlap under one director's limits, each takes half of the descriptors and of the memory room for its bounds. Rejected: binding with SO_REUSEPORT beside the platform's socket, which would be a second listener that the platform never asked for, and would leave the queue of the held socket to nobody.

Test: tests/exchanges/handed_upgrade.txt (a successor on the same socket, the old one ends cleanly) and bad descriptors refused with 2.

--- a/onyxwick/config/relay.py
+++ b/onyxwick/config/relay.py
@@ -4,7 +4,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -30,22 +30,29 @@
     memory_mb: int
     known: dict[str, Any]
     settings: i.Settings
+    listen_fd: int | None = None  # a listening socket that the platform holds and hands down
 
-    # What the limits leave: each bound is a share of them, so that all together stay under.
+    # What the limits leave: each bound is a share of them, so that all together stay under. Where the
+    # platform holds the listening socket, an upgrade runs two processes under one director's limits.
+
+    @property
+    def shares(self) -> int:
+        """Processes that may run at once under these limits: 2 where an upgrade can overlap them."""
+        return 1 if self.listen_fd is None else 2
 
     @property
     def most_links(self) -> int:
         """Connections to caches, parents and the origin."""
-        return self.sockets // 4
+        return self.sockets // self.shares // 4
 
     @property
     def most_clients(self) -> int:
-        return self.sockets - self.most_links - SPARE_SOCKETS
+        return self.sockets // self.shares - self.most_links - SPARE_SOCKETS
 
     @property
     def room_bytes(self) -> int:
         """Memory for requests and answers under way."""
-        return max(8, self.memory_mb - BASE_MB) * 1_000_000
+        return max(8, (self.memory_mb - self.shares * BASE_MB) // self.shares) * 1_000_000
 
     @property
     def most_held(self) -> int:
@@ -110,4 +117,17 @@
     if not isinstance(data, dict):
         raise ConfigError("file of 'RELAY_CONFIG' holds no object")
     told = {"name": environment.get("RELAY_NAME"), "listen": environment.get("RELAY_LISTEN")}
-    return read({**data, **{name: value for name, value in told.items() if value}})
+    config = read({**data, **{name: value for name, value in told.items() if value}})
+    return replace(config, listen_fd=_descriptor(environment.get("RELAY_LISTEN_FD")))
+
+
+def _descriptor(text: str | None) -> int | None:
+    """The number of an inherited listening socket; absent or empty: the program binds `listen` itself."""
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()) or int(text) > 65_535:
+        raise ConfigError(
+            f"variable 'RELAY_LISTEN_FD' is {text[:32]!r}, no descriptor number;"
+            " likely intent: the number of the listening socket handed down, as 7"
+        )
+    return int(text)
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import os
 import signal
@@ -196,10 +197,17 @@
     def print_counters(self) -> None:
         print(self.counters.text(), flush=True)
 
-    async def run(self) -> None:
-        """STARTING to STOPPED; returns when everything taken is answered."""
+    async def run(self, handed: socket.socket | None = None) -> None:
+        """STARTING to STOPPED; returns when everything taken is answered.
+
+        `handed`: the listening socket that the platform holds; else the program binds `listen` itself.
+        """
         self._signals()
-        with front.listen(self.config.listen) as sock:
+        self.handed = handed is not None
+        opened: contextlib.AbstractContextManager[socket.socket] = (
+            front.listen(self.config.listen) if handed is None else contextlib.nullcontext(handed)
+        )
+        with opened as sock:
             loop = asyncio.get_running_loop()
             if self.durable is not None:
                 self.durable.start()
@@ -301,13 +309,20 @@
         ready = sum(self.members.ready(member) for member in listed)
         return {"state": self.state.value, "ready": self.is_ready(), "members": len(listed), "up": ready}
 
+    handed = False  # the listening socket is the platform's: a successor accepts on it already
+
     async def _drain(self, accepting: asyncio.Task[None], sock: socket.socket) -> None:
-        """Serve what still comes, then close the door and answer all that was taken."""
+        """Serve what still comes, then close the door and answer all that was taken.
+
+        On a socket that the platform holds the successor takes new connections at once: none are taken here.
+        """
         self._enter(State.DRAINING)
-        await asyncio.sleep(LINGER_S)
+        if not self.handed:
+            await asyncio.sleep(LINGER_S)
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
-        sock.close()
+        if not self.handed:
+            sock.close()
         await self.front.finish()
 
 
@@ -322,15 +337,17 @@
 
 
 def main() -> int:
-    """One director in the foreground, told by RELAY_CONFIG, RELAY_LISTEN and RELAY_NAME; its exit code."""
+    """One director in the foreground, told by RELAY_CONFIG, RELAY_LISTEN, RELAY_NAME and RELAY_LISTEN_FD;
+    its exit code."""
     logs.set_up()
     try:
         told, service = relay.load(), read_service()
+        handed = None if told.listen_fd is None else front.held(told.listen_fd)
     except ConfigError as error:
         print(f"onyxwick: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(_run(told, service))
+        uvloop.run(_run(told, service, handed))
     except Unusable as error:
         print(f"onyxwick: {error}", file=sys.stderr)
         return 2
@@ -341,13 +358,13 @@
     """What the program starts from cannot be used; the text says why."""
 
 
-async def _run(told: Config, service: ServiceConfig | None) -> None:
+async def _run(told: Config, service: ServiceConfig | None, handed: socket.socket | None) -> None:
     if service is None or service.store is None:
-        return await Director(told, service).run()
+        return await Director(told, service).run(handed)
     from onyxwick.store.errors import StoreError
 
     try:
         director = Director(told, service)
     except StoreError as error:
         raise Unusable(f"the store in {service.store.folder.name} is not opened: {error}") from None
-    return await director.run()
+    return await director.run(handed)
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -13,6 +13,7 @@
 
 from onyxwick import interface as i
 from onyxwick import logs
+from onyxwick.config import ConfigError
 from onyxwick.core import Answer, Core, Life, Request, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi
@@ -55,6 +56,25 @@
     return sock
 
 
+def held(fd: int) -> socket.socket:
+    """The listening socket that the platform holds and hands down; it is served on, never bound or closed.
+
+    ConfigError where the descriptor is no listening TCP socket over IPv4.
+    """
+    intent = "likely intent: the descriptor of the clients' listening socket that the platform holds, as 7"
+    try:
+        sock = socket.socket(fileno=fd)
+    except OSError as error:
+        told = f"variable 'RELAY_LISTEN_FD': descriptor {fd}: {error.strerror}"
+        raise ConfigError(f"{told}; {intent}") from None
+    kind = sock.family is socket.AF_INET and sock.type is socket.SOCK_STREAM
+    if not kind or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()  # not ours to close
+        raise ConfigError(f"variable 'RELAY_LISTEN_FD': descriptor {fd} is no listening TCP socket; {intent}")
+    sock.setblocking(False)
+    return sock
+
+
 _HEX16 = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
 _PLAIN = re.compile(rb"[!-+.-<>-~-]{0,128}").fullmatch  # what may stand in a field of the caches' protocol
 MOST_PARTS = 65_535  # of one object
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -8,6 +8,10 @@
 (an object: what it changes) the configuration file and sends SIGHUP; `program service TEXT` does the same
 with the service file; `program logged WORDS` waits for a log line. Everything waits for its event, nothing
 for a time.
+
+Where the platform holds the clients' listening socket (files named `handed_*`), the test makes it and hands
+it down as the platform does; `program upgrade -` starts a successor on it and waits until it serves, and
+`program term -` sends SIGTERM to the one that runs longest, waits for its clean exit, leaves the successor.
 """
 
 from __future__ import annotations
@@ -41,7 +45,7 @@
 class Exchange:
     """The program with its stand-ins."""
 
-    def __init__(self, folder: Path, service: str = "") -> None:
+    def __init__(self, folder: Path, service: str = "", handed: bool = False) -> None:
         self.config = json.loads((FOLDER / "config.json").read_text())
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
@@ -57,11 +61,24 @@
                 shutil.copy(FOLDER / name, folder)
             environment["ONYXWICK_SERVICE"] = str(folder / service)
         self.service = folder / service
-        self.program = subprocess.Popen(
-            [sys.executable, "-m", "onyxwick"], cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True
-        )
+        self.held = socket.create_server(LISTEN) if handed else None
+        if self.held is not None:
+            environment["RELAY_LISTEN_FD"] = str(self.held.fileno())
+        self.environment, self.older = environment, list[subprocess.Popen[str]]()
+        self.program = self._start()
         self._until(WAITS.get(service, "serving"))
 
+    def _start(self) -> subprocess.Popen[str]:
+        handed = () if self.held is None else (self.held.fileno(),)
+        return subprocess.Popen(
+            [sys.executable, "-m", "onyxwick"],
+            cwd=ROOT,
+            env=self.environment,
+            stderr=subprocess.PIPE,
+            text=True,
+            pass_fds=handed,
+        )
+
     def _listen(self, address: tuple[str, int]) -> socket.socket:
         sock = socket.create_server(address)
         sock.settimeout(PATIENCE_S)
@@ -130,6 +147,16 @@
     def _program(self, what: str, text: str) -> None:
         if what == "logged":
             return self._until(text)
+        if what == "upgrade":
+            self.older.append(self.program)
+            self.program = self._start()
+            return self._until("serving")
+        if what == "term":
+            oldest = self.older.pop(0)
+            oldest.send_signal(signal.SIGTERM)
+            _, logged = oldest.communicate(timeout=PATIENCE_S)
+            assert oldest.returncode == 0, logged
+            return None
         if what == "service":
             self.service.write_text(text.replace("\\n", "\n"))
             return self.program.send_signal(signal.SIGHUP)
@@ -146,4 +173,6 @@
         print(logged)  # shown where a test fails
         for sock in (*self.open.values(), *self.listeners.values()):
             sock.close()
+        if self.held is not None:
+            self.held.close()
         assert self.program.returncode == 0
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -19,7 +20,8 @@
 @pytest.mark.parametrize("name", NAMES)
 def test_exchange(name: str, tmp_path: Path) -> None:
     services = {"dns": "service.hcl", "admin": "service.hcl", "cells": "cells.hcl"}
-    exchange = Exchange(tmp_path, services.get(re.split("[_.]", name)[0], ""))
+    kind = re.split("[_.]", name)[0]
+    exchange = Exchange(tmp_path, services.get(kind, ""), handed=kind == "handed")
     try:
         exchange.play(name)
     finally:
@@ -44,3 +46,19 @@
         capture_output=True, text=True, check=False, timeout=PATIENCE_S,
     )  # fmt: skip
     assert done.returncode == 2 and field in done.stderr and done.stderr.count("\n") == 1, done.stderr
+
+
+@pytest.mark.parametrize("handed", ["seven", "unbound", "file"])
+def test_a_handed_descriptor_that_is_no_listening_socket_is_refused(handed: str, tmp_path: Path) -> None:
+    """What the platform hands down must be its listening socket: anything else ends the start with 2."""
+    config = tmp_path / "config.json"
+    config.write_text((FOLDER / "config.json").read_text())
+    with socket.socket() as unbound, config.open() as file:
+        fd = {"seven": "seven", "unbound": str(unbound.fileno()), "file": str(file.fileno())}[handed]
+        done = subprocess.run(
+            [sys.executable, "-m", "onyxwick"], cwd=ROOT, capture_output=True, text=True, check=False,
+            env={**os.environ, "RELAY_CONFIG": str(config), "RELAY_LISTEN_FD": fd},
+            pass_fds=() if handed == "seven" else (int(fd),), timeout=PATIENCE_S,
+        )  # fmt: skip
+    told = done.stderr
+    assert done.returncode == 2 and "RELAY_LISTEN_FD" in told and "likely intent" in told, told
