HTTP server beside the protocol: one call a connection, a bound wait, the oldest displaced

Need: the operators' door speaks HTTP/1.1 with one call to a connection, and a few callers connect and finish no call for 4 s. The administration API's server refused a newcomer once its 16 places were taken, for up to 10 s of a silent caller each: callers that never finish would have held the door shut.

Change (a refactor of admin/http.py, no change for the administration API but the place rule): the server takes its bound on places, the time a call may take, whether a connection carries one call, and its name for the log. Where all places are taken, a newcomer displaces the connection open longest (counted as admin.displaced) instead of being refused. With one_call the answer carries 'Connection: close' and what follows the call is not read.

Test: tests/test_http.py (three silent callers, a fourth is answered and the oldest closed; two calls on one connection get one answer).

--- a/onyxwick/admin/http.py
+++ b/onyxwick/admin/http.py
@@ -99,14 +99,32 @@
 
 
 class HttpServer:
-    def __init__(self, address: tuple[str, int], handler: Handler, counters: Counters) -> None:
+    """Connections of callers, each one a task; bounded in count and in the time that a call may take.
+
+    `one_call`: a connection carries one call and is closed after its answer. `patience_s`: the longest wait
+    for the rest of a call, and for an answer to be taken. Where all places are taken a newcomer displaces the
+    connection that has been open longest, which is the likeliest to be one that never finishes a call.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: Handler,
+        counters: Counters,
+        most: int = CLIENTS,
+        patience_s: float = IDLE_S,
+        one_call: bool = False,
+        name: str = "administration API",
+    ) -> None:
         self.address, self.handler, self.counters = address, handler, counters
-        self.clients: set[asyncio.Task[None]] = set()
+        self.most, self.patience_s, self.one_call, self.name = most, patience_s, one_call, name
+        self.clients: dict[asyncio.Task[None], None] = {}  # oldest first
 
-    async def run(self) -> None:
+    async def run(self, bound: socket.socket | None = None) -> None:
+        """Serve until cancelled, on `bound` where the caller has bound it already."""
         loop = asyncio.get_running_loop()
-        with listen(self.address) as sock:
-            log.info("administration API on", address=written(self.address))
+        with bound or listen(self.address) as sock:
+            log.info(f"{self.name} on", address=written(self.address))
             try:
                 while True:
                     try:
@@ -116,32 +134,37 @@
                         await asyncio.sleep(ACCEPT_PAUSE_S)
                         continue
                     conn.setblocking(False)
-                    if len(self.clients) >= CLIENTS:
-                        conn.close()
-                        continue
+                    if len(self.clients) >= self.most:
+                        self.counters.add("admin.displaced")
+                        next(iter(self.clients)).cancel()
                     task = loop.create_task(self._client(conn))
-                    self.clients.add(task)
-                    task.add_done_callback(self.clients.discard)
+                    self.clients[task] = None
+                    task.add_done_callback(self._ended)
             finally:
                 for task in self.clients:
                     task.cancel()
 
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.clients.pop(task, None)
+
     async def _client(self, conn: socket.socket) -> None:
         loop, buffer, collector = asyncio.get_running_loop(), Buffer(), _Collector()
         parser = httptools.HttpRequestParser(collector)
         with conn, contextlib.suppress(OSError, TimeoutError):
             while True:
-                async with asyncio.timeout(IDLE_S):
+                async with asyncio.timeout(self.patience_s):
                     if not await buffer.receive(loop, conn):
                         return
                 broken = self._parse(parser, collector, buffer.take(len(buffer)))
-                out = [await self._answer(request) for request in collector.done]
+                calls = collector.done[:1] if self.one_call else collector.done
+                out = [await self._answer(request, self.one_call) for request in calls]
                 collector.done.clear()
-                if broken is not None:
+                answered = bool(out) and self.one_call  # what follows its one call is not read
+                if broken is not None and not answered:
                     out.append(response(broken.status, {"error": broken.text}, close=True))
-                async with asyncio.timeout(IDLE_S):
+                async with asyncio.timeout(self.patience_s):
                     await loop.sock_sendall(conn, b"".join(out))
-                if broken is not None or not parser.should_keep_alive():
+                if answered or broken is not None or not parser.should_keep_alive():
                     return
 
     def _parse(
@@ -163,16 +186,16 @@
                 request.method = parser.get_method().decode("latin-1")
         return None
 
-    async def _answer(self, request: HttpRequest) -> bytes:
+    async def _answer(self, request: HttpRequest, close: bool = False) -> bytes:
         try:
             answer = self.handler(request)
             status, data = answer if isinstance(answer, tuple) else await answer
             self.counters.add(f"admin.{status}")
-            return response(status, data)
+            return response(status, data, close=close)
         except HttpError as error:
             self.counters.add(f"admin.{error.status}")
-            return response(error.status, {"error": error.text}, error.headers)
+            return response(error.status, {"error": error.text}, error.headers, close=close)
         except Exception:
             self.counters.add("error.admin")
             log.exception("error in a call", method=request.method, path=request.path[:64])
-            return response(500, {"error": "internal error"})
+            return response(500, {"error": "internal error"}, close=close)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,51 @@
+"""The small HTTP server beside the main protocol: callers that never finish a call hold no place for long."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from onyxwick.admin.http import HttpRequest, HttpServer
+from onyxwick.counters import Counters
+
+ADDRESS = ("127.77.9.1", 18090)
+
+
+def _answer(request: HttpRequest) -> tuple[int, object]:
+    return 200, {"path": request.path}
+
+
+async def _call(text: bytes) -> bytes:
+    loop = asyncio.get_running_loop()
+    with socket.create_connection(ADDRESS) as sock:
+        sock.setblocking(False)
+        await loop.sock_sendall(sock, text)
+        got = b""
+        while more := await loop.sock_recv(sock, 65_536):
+            got += more
+        return got
+
+
+def test_a_newcomer_displaces_the_oldest_silent_caller_and_one_call_ends_its_connection() -> None:
+    async def play() -> tuple[bytes, bytes, bytes]:
+        counters = Counters()
+        server = HttpServer(ADDRESS, _answer, counters, most=3, patience_s=5.0, one_call=True, name="door")
+        task = asyncio.get_running_loop().create_task(server.run())
+        await asyncio.sleep(0)
+        silent = [socket.create_connection(ADDRESS) for _ in range(3)]
+        while len(server.clients) < 3:
+            await asyncio.sleep(0.01)
+        # Two calls on one connection: the first is answered, the connection ends, the second is not read.
+        answer = await _call(b"GET /ready HTTP/1.1\r\nHost: d\r\n\r\nGET /other HTTP/1.1\r\nHost: d\r\n\r\n")
+        silent[0].settimeout(5.0)
+        first = silent[0].recv(1)  # the oldest silent caller was displaced: its connection is closed
+        for sock in silent:
+            sock.close()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return answer, first, str(counters.counts["admin.displaced"]).encode()
+
+    answer, first, displaced = asyncio.run(play())
+    assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and b"Connection: close" in answer, answer
+    assert b'{"path":"/ready"}' in answer and b"/other" not in answer
+    assert first == b"" and displaced == b"1"
