The operators' door: readiness, drain, caches left out and figures, in a thread of its own

Design: onyxwick/door/. The calls (calls.py) and the orders (orders.py: caches left out, the drain, a version) are pure; a cache left out is shown to the module as draining and, let back in, as started at that moment, so that it comes back cold; the module learns no new event. The door runs on an event loop of its own in a thread of its own, so that it answers in its second however busy the director's loop is; what a call orders binds in that thread before the yes (Members.held, which every send checks), and the director's loop is told after it. The orders are written whole to a file in $TMPDIR, read by a successor before anything is listed and looked at every 0.1 s, so that they hold over an upgrade. Drained, /ready says no, and every connection ends softly (its end written, what crossed it passed over) as soon as it owes nothing; the process stays. The phases are a table with DRAINED.

Off: without admin or RELAY_ADMIN nothing of door/ is imported.

--- a/onyxwick/admin/http.py
+++ b/onyxwick/admin/http.py
@@ -115,9 +115,11 @@
         patience_s: float = IDLE_S,
         one_call: bool = False,
         name: str = "administration API",
+        counted: str = "admin",
     ) -> None:
         self.address, self.handler, self.counters = address, handler, counters
         self.most, self.patience_s, self.one_call, self.name = most, patience_s, one_call, name
+        self.counted = counted  # the first word of its counters' names
         self.clients: dict[asyncio.Task[None], None] = {}  # oldest first
 
     async def run(self, bound: socket.socket | None = None) -> None:
@@ -135,7 +137,7 @@
                         continue
                     conn.setblocking(False)
                     if len(self.clients) >= self.most:
-                        self.counters.add("admin.displaced")
+                        self.counters.add(f"{self.counted}.displaced")
                         next(iter(self.clients)).cancel()
                     task = loop.create_task(self._client(conn))
                     self.clients[task] = None
@@ -178,8 +180,8 @@
             cause = error.__context__
             return cause if isinstance(cause, HttpError) else HttpError(400, "bad request")
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.counters.add("bad.admin")
-            log.warning("bad input to the administration API", error=str(error))
+            self.counters.add(f"bad.{self.counted}")
+            log.warning(f"bad input to the {self.name}", error=str(error))
             return HttpError(400, "no HTTP request")
         finally:
             for request in collector.done:
@@ -190,12 +192,12 @@
         try:
             answer = self.handler(request)
             status, data = answer if isinstance(answer, tuple) else await answer
-            self.counters.add(f"admin.{status}")
+            self.counters.add(f"{self.counted}.{status}")
             return response(status, data, close=close)
         except HttpError as error:
-            self.counters.add(f"admin.{error.status}")
+            self.counters.add(f"{self.counted}.{error.status}")
             return response(error.status, {"error": error.text}, error.headers, close=close)
         except Exception:
-            self.counters.add("error.admin")
+            self.counters.add(f"error.{self.counted}")
             log.exception("error in a call", method=request.method, path=request.path[:64])
             return response(500, {"error": "internal error"}, close=close)
--- a/onyxwick/cells/fleet.py
+++ b/onyxwick/cells/fleet.py
@@ -54,6 +54,10 @@
 
     # ---- events -----------------------------------------------------------------------------------------
 
+    def ejected(self) -> int:
+        """Members that some cell's router has ejected, counted once for each cell."""
+        return sum(unit.router.ejected() for unit in self.units.values())
+
     def handle(self, now: int, events: list[i.Event]) -> list[i.Action]:
         """The events of one instant, each told to the cells that it is for; their actions."""
         self.now = self.admission.now = now
--- a/onyxwick/config/relay.py
+++ b/onyxwick/config/relay.py
@@ -31,6 +31,7 @@
     known: dict[str, Any]
     settings: i.Settings
     listen_fd: int | None = None  # a listening socket that the platform holds and hands down
+    admin: tuple[str, int] | None = None  # the operators' door; None: no door
 
     # What the limits leave: each bound is a share of them, so that all together stay under. Where the
     # platform holds the listening socket, an upgrade runs two processes under one director's limits.
@@ -118,7 +119,23 @@
         raise ConfigError("file of 'RELAY_CONFIG' holds no object")
     told = {"name": environment.get("RELAY_NAME"), "listen": environment.get("RELAY_LISTEN")}
     config = read({**data, **{name: value for name, value in told.items() if value}})
-    return replace(config, listen_fd=_descriptor(environment.get("RELAY_LISTEN_FD")))
+    door = environment.get("RELAY_ADMIN")
+    admin = _door(door, "variable 'RELAY_ADMIN'", config.listen) if door else None
+    if admin is None and data.get("admin") not in (None, ""):
+        admin = _door(data["admin"], "field 'admin'", config.listen)
+    return replace(config, listen_fd=_descriptor(environment.get("RELAY_LISTEN_FD")), admin=admin)
+
+
+def _door(told: object, where: str, listen: tuple[str, int]) -> tuple[str, int]:
+    """The operators' door as `HOST:PORT`, or a port alone on the host of `listen`."""
+    if (isinstance(told, int) and not isinstance(told, bool)) or (isinstance(told, str) and told.isdigit()):
+        told = f"{listen[0]}:{told}"
+    try:
+        return read_address(told)
+    except ValueError as error:
+        raise ConfigError(
+            f"{where}: {error}; likely intent: HOST:PORT of the operators' door, as 127.0.0.1:9600"
+        ) from None
 
 
 def _descriptor(text: str | None) -> int | None:
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -105,9 +105,9 @@
         self.latest = clock()
         self.watch: Watch | None = None  # writes a trace, where one is wanted
         self.durable: Durable | None = None  # what lasts over restarts, where the installation has a disk
-        self.told: dict[
-            str, tuple[i.Member, tuple[str, int]]
-        ] = {}  # the list before what `durable` holds back
+        # How the list is to be shown to the module, over what `durable` holds back: the operators' orders.
+        self.shown: Callable[[i.MembersChanged, int], i.MembersChanged] | None = None
+        self.told: dict[str, tuple[i.Member, tuple[str, int]]] = {}  # the list as told, before what is held
         self.lives: dict[str, Life] = {}
         self.idle = asyncio.Event()
         self.idle.set()
@@ -152,14 +152,18 @@
             asyncio.get_running_loop().call_later(RETRY_TIMER_S, self._timer, at, token)
 
     def list_changed(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
+        if event.kind is not i.ListKind.CHANGE:
+            self.told.clear()
+        for m in event.members:
+            if m.address in addresses:
+                self.told[m.address] = (m, addresses[m.address])
+            else:
+                self.told.pop(m.address, None)  # gone: nothing to tell of it again
         if self.durable is not None:
-            if event.kind is not i.ListKind.CHANGE:
-                self.told.clear()
-            self.told |= {
-                m.address: (m, addresses[m.address]) for m in event.members if m.address in addresses
-            }
             self.durable.list_told(event, self.now())
             event = self.durable.recovery.seen(event)
+        if self.shown is not None:
+            event = self.shown(event, self.now())
         self.members.apply(event, addresses)
         self.tell(event)
 
--- a/onyxwick/core/members.py
+++ b/onyxwick/core/members.py
@@ -19,6 +19,8 @@
         self.loaded = False
         self.watchers: list[Callable[[str], None]] = []  # told of each member that left or started anew
         self.purges: dict[tuple[int | None, str | None], int] = {}  # when each was told
+        # Left out by the operators: nothing is sent to them from the moment this is set, from any thread.
+        self.held: frozenset[str] = frozenset()
 
     def apply(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
         if event.kind is not i.ListKind.CHANGE:
@@ -51,7 +53,7 @@
 
     def ready(self, member: str) -> bool:
         listed = self.listed.get(member)
-        return listed is not None and listed.state is i.State.READY
+        return listed is not None and listed.state is i.State.READY and member not in self.held
 
     def still_good(self, member: str, source: str | None, request: Request, decided: int) -> bool:
         """May what was decided then be sent now? A drain or a purge may have been told in between."""
--- a/onyxwick/counters.py
+++ b/onyxwick/counters.py
@@ -16,5 +16,11 @@
             name = "other"
         self.counts[name] += by
 
+    def merged(self, other: Counters) -> Counters:
+        """Both counts in one, as for printing; neither is changed."""
+        both = Counters()
+        both.counts = self.counts + other.counts
+        return both
+
     def text(self) -> str:
         return "\n".join(f"{name} {count}" for name, count in sorted(self.counts.items()))
--- /dev/null
+++ b/onyxwick/door/bridge.py
@@ -0,0 +1,101 @@
+"""The director's side of the operators' door: orders taken from the door's thread into the director's loop.
+
+What must hold at the yes holds in the door's thread already: a cache left out is in `Members.held`, which
+every send looks at, and a drained director says no. The module is told in the director's loop right after:
+a cache left out is shown to it as draining, one let back in as started at that moment, so it comes back cold.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from onyxwick import interface as i
+from onyxwick import logs
+from onyxwick.core import Core
+from onyxwick.core.members import Members
+from onyxwick.counters import Counters
+from onyxwick.door import orders as o
+from onyxwick.door.figures import figures
+from onyxwick.door.lasting import Lasting
+
+log = logs.get()
+
+
+class Bridge:
+    """Orders, figures and readiness, each safe to read or hand over from the door's thread."""
+
+    def __init__(
+        self,
+        core: Core,
+        members: Members,
+        counters: Counters,
+        ready_word: Callable[[], str],
+        drained: Callable[[bool], None],
+        lasting: Lasting | None,
+    ) -> None:
+        self.core, self.members, self.counters, self.lasting = core, members, counters, lasting
+        self.ready_word, self.drained = ready_word, drained
+        self.known = o.Known()
+        self.orders = self.applied = o.Orders()  # the latest; those the director's loop has taken up
+        self.published: dict[str, dict[str, object]] = figures({}, 0, 0, 0)
+        self.loop: asyncio.AbstractEventLoop | None = None
+
+    def recall(self) -> None:
+        """What a predecessor was ordered, before anything is listed or sent; a file that cannot be read is
+        passed over with one log line, as there is nothing better to go by."""
+        if self.lasting is None:
+            return
+        try:
+            read = self.lasting.read()
+        except (OSError, ValueError) as error:
+            log.warning("the door's file of a predecessor cannot be read", error=str(error))
+            return
+        if read is not None:
+            self.orders = self.applied = read[0]
+            self.members.held = read[0].held
+            self.known.add(read[1])
+            log.info("orders of a predecessor", version=read[0].version, held=len(read[0].held))
+
+    def shown(self, event: i.MembersChanged, now: int) -> i.MembersChanged:
+        """The list as the module is to see it: every id is known from now on, the orders bind."""
+        self.known.add([member.address for member in event.members])
+        return o.shown_list(event, self.orders, now)
+
+    # ---- from the door's thread --------------------------------------------------------------------------
+
+    def figures(self) -> dict[str, dict[str, object]]:
+        return self.published
+
+    def ordered(self, orders: o.Orders, known: list[str]) -> None:
+        self.orders = orders
+        self.members.held = orders.held  # from here on, no send to a cache left out
+        if self.loop is not None:
+            self.loop.call_soon_threadsafe(self._take_up, known)
+
+    # ---- in the director's loop ----------------------------------------------------------------------------
+
+    def _take_up(self, known: list[str]) -> None:
+        self.known.add(known)
+        before, after = self.applied, self.orders
+        self.applied = after
+        names = o.changed(before, after)
+        if names:
+            self.core.retell(*names)
+            log.info("caches left out", held=sorted(after.held)[:16], changed=sorted(names)[:16])
+        if before.drained is not after.drained:
+            self.drained(after.drained)
+
+    def publish(self) -> None:
+        """The figures as they are now, for the door to show."""
+        decider = self.core.router
+        self.published = figures(
+            self.counters.counts.copy(), len(self.core.lives), len(self.members.listed), decider.ejected()
+        )
+
+
+def lasting(folder: str | None, name: str) -> Lasting | None:
+    """The file shared with a successor, in the folder that the platform gives both (`$TMPDIR`); None where
+    no such folder is given, as a folder of some other use may hold what another director left."""
+    return Lasting(Path(folder), name) if folder else None
--- /dev/null
+++ b/onyxwick/door/lasting.py
@@ -0,0 +1,52 @@
+"""The door's orders in a file of the folder that a process and its successor share (`$TMPDIR`).
+
+Written whole under a new name and moved into place, so that a reader finds the old text or the new one, never
+half of one. Read at the start, and again whenever the file has changed: what the other process was told
+binds here too. Nothing else is kept; a folder that the platform empties at each start holds nothing stale.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import ujson
+
+from onyxwick.door.orders import Known, Orders, of_json, to_json
+
+MOST_BYTES = 1_000_000  # a larger file is no file of ours
+
+
+class Lasting:
+    """One file of orders; I/O through the standard calls on the folder it is given."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        self.path = folder / f"onyxwick-orders-{name or 'director'}.json"
+        self.seen: tuple[int, int, int] | None = None  # inode, size and time of the text last read or written
+
+    def _stamp(self) -> tuple[int, int, int] | None:
+        try:
+            told = os.stat(self.path)
+        except FileNotFoundError:
+            return None
+        return told.st_ino, told.st_size, told.st_mtime_ns
+
+    def read(self) -> tuple[Orders, list[str]] | None:
+        """The orders in the file where it has changed since it was last seen; None where it has not.
+
+        ValueError where the file is no file of orders; OSError where it cannot be read.
+        """
+        stamp = self._stamp()
+        if stamp is None or stamp == self.seen:
+            return None
+        self.seen = stamp
+        if stamp[1] > MOST_BYTES:
+            raise ValueError(f"{self.path.name} is larger than {MOST_BYTES} bytes")
+        return of_json(ujson.loads(self.path.read_bytes()))
+
+    def write(self, orders: Orders, known: Known) -> None:
+        """The orders whole, in place of what was there; OSError where the folder takes nothing."""
+        draft = self.path.with_name(f".{self.path.name}.{os.getpid()}")
+        draft.write_text(ujson.dumps(to_json(orders, known)))
+        os.replace(draft, self.path)
+        self.seen = self._stamp()
--- /dev/null
+++ b/onyxwick/door/server.py
@@ -0,0 +1,156 @@
+"""The operators' door: HTTP/1.1 on an address of its own, one call a connection, in a thread of its own.
+
+Design. The door runs its own event loop in its own thread, so that it answers within its second however busy
+the director's loop is: a burst of thousands of connections takes that loop for longer than a caller waits.
+What a call changes takes effect in this thread before the yes (`Director.ordered`), and the director's loop
+is told after it. Rejected: the door as one more task of the director's loop, which is simpler but answers
+only as soon as that loop comes round to it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+import uvloop
+
+from onyxwick import logs
+from onyxwick.admin.http import HttpError, HttpRequest, HttpServer
+from onyxwick.counters import Counters
+from onyxwick.door import orders as o
+from onyxwick.door.calls import Call, Kind, Refused, route
+from onyxwick.door.lasting import Lasting
+
+log = logs.get()
+PLACES = 32  # callers at once; a newcomer displaces the one open longest
+PATIENCE_S = 1.0  # a caller waits 1 s for its answer: one that has not finished its call by then waits none
+LOOK_S = 0.1  # between two looks at the file that the other process may have written
+STOP_S = 1.0  # the longest wait for the thread at the end
+
+
+class Director(Protocol):
+    """What the door needs of the director; each may be called from the door's thread."""
+
+    def ready_word(self) -> str: ...
+
+    def figures(self) -> dict[str, dict[str, object]]: ...
+
+    def ordered(self, orders: o.Orders, known: list[str]) -> None: ...
+
+
+Answer = tuple[int, object]
+
+
+class Door:
+    """The calls, the thread and the file. `clock`: Unix microseconds."""
+
+    def __init__(
+        self,
+        bound: socket.socket,
+        address: tuple[str, int],
+        director: Director,
+        orders: o.Orders,
+        known: o.Known,
+        lasting: Lasting | None,
+        clock: Callable[[], int],
+    ) -> None:
+        self.bound, self.director, self.orders, self.known = bound, director, orders, known
+        self.lasting, self.clock = lasting, clock
+        self.counters = Counters()  # of this thread alone: the director's are written by its own
+        self.server = HttpServer(
+            address, self, self.counters, PLACES, PATIENCE_S, one_call=True, name="door", counted="door"
+        )
+        self.thread = threading.Thread(target=self._run, name="door", daemon=True)
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.started = threading.Event()
+
+    def start(self) -> None:
+        self.thread.start()
+        self.started.wait()
+
+    def stop(self) -> None:
+        if self.loop is not None and self.task is not None:
+            self.loop.call_soon_threadsafe(self.task.cancel)
+        self.thread.join(STOP_S)
+
+    def _run(self) -> None:
+        loop = self.loop = uvloop.new_event_loop()
+        try:
+            self.task = loop.create_task(self._serve())
+            loop.call_soon(self.started.set)
+            loop.run_until_complete(asyncio.gather(self.task, return_exceptions=True))
+        finally:
+            self.started.set()
+            loop.close()
+
+    async def _serve(self) -> None:
+        looking = asyncio.get_running_loop().create_task(self._look())
+        try:
+            await self.server.run(self.bound)
+        finally:
+            looking.cancel()
+
+    # ---- calls ----------------------------------------------------------------------------------------
+
+    def __call__(self, request: HttpRequest) -> Answer:
+        try:
+            call = route(request.method, request.path)
+        except Refused as refused:
+            self.counters.add("door.refused")
+            log.warning("a call that the door does not take", path=request.path[:64], reason=refused.text)
+            headers = {"Allow": refused.allow} if refused.allow else None
+            raise HttpError(refused.status, refused.text, headers) from None
+        return self._carry_out(call)
+
+    def _carry_out(self, call: Call) -> Answer:
+        if call.kind is Kind.READY:
+            word = self.director.ready_word()
+            return (200 if word == "YES" else 503), {"ready": word}
+        if call.kind is Kind.METRICS:
+            return 200, self.director.figures()
+        if call.kind in (Kind.DRAIN, Kind.UNDRAIN):
+            self._order(o.drain(self.orders, call.kind is Kind.DRAIN))
+            return 200, {"drained": self.orders.drained}
+        if call.cache not in self.known:
+            self.counters.add("door.unknown")
+            log.warning("a call for a cache never listed", cache=call.cache)
+            raise HttpError(404, f"cache {call.cache!r} was never listed")
+        now, change = self.clock(), o.disable if call.kind is Kind.DISABLE else o.enable
+        try:
+            self._order(change(self.orders, call.cache, now))
+        except o.OrderError as error:
+            raise HttpError(409, str(error)) from None
+        return 200, {"cache": call.cache, "disabled": call.cache in self.orders.held}
+
+    def _order(self, orders: o.Orders) -> None:
+        """Orders that bind from now on: in this process at once, in the file for the other one."""
+        if orders is self.orders:
+            return
+        self.orders = orders
+        self.director.ordered(orders, [])
+        self.counters.add("door.ordered")
+        if self.lasting is not None:
+            try:
+                self.lasting.write(orders, self.known)
+            except OSError as error:
+                self.counters.add("door.unsaved")
+                log.error("the door's orders are not kept for a successor", error=str(error))
+
+    async def _look(self) -> None:
+        """Take up what the other process of an upgrade was ordered, as soon as it has written it."""
+        while self.lasting is not None:
+            await asyncio.sleep(LOOK_S)
+            try:
+                read = self.lasting.read()
+            except (OSError, ValueError) as error:
+                self.counters.add("door.unreadable")
+                log.warning("the door's file cannot be read", error=str(error))
+                continue
+            if read is not None and read[0].version > self.orders.version:
+                self.orders = read[0]
+                self.director.ordered(read[0], read[1])
+                log.info("orders taken from the other process", version=read[0].version)
--- a/onyxwick/interface.py
+++ b/onyxwick/interface.py
@@ -340,3 +340,7 @@
     """What decides for one director: the events of one instant in, the actions on them out."""
 
     def handle(self, now: int, events: list[Event]) -> list[Action]: ...
+
+    def ejected(self) -> int:
+        """Members ejected for their errors or silence at present; a figure, not a decision."""
+        ...
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -22,6 +22,7 @@
 from onyxwick.config.address import written
 from onyxwick.config.relay import Config
 from onyxwick.core import Core
+from onyxwick.core.engine import unix_us
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
@@ -37,6 +38,8 @@
     from onyxwick.cells.holding import Holding
     from onyxwick.config.service import ServiceConfig, TraceConfig
     from onyxwick.dns.server import DnsFront
+    from onyxwick.door.bridge import Bridge
+    from onyxwick.door.server import Door
     from onyxwick.store.durable import Durable
 
 log = logs.get()
@@ -48,13 +51,34 @@
 GC_ALL_S = 10.0  # between full collections: ended connections leave cycles, which must not add up over a day
 
 
+FIGURES_S = 0.5  # between two takings of the figures that the operators' door shows
+FINISH_S = 1.5  # after SIGTERM and the door's close: how long connections still in use are left to come free
+
+
 class State(Enum):
+    """The program's phases. DRAINED: the operators' drain, said no to and left by clients, without an end.
+    DRAINING: the end after SIGTERM."""
+
     STARTING = "starting"
     SERVING = "serving"
+    DRAINED = "drained"
     DRAINING = "draining"
     STOPPED = "stopped"
 
 
+MOVES = {
+    State.STARTING: {State.SERVING, State.DRAINED, State.DRAINING},
+    State.SERVING: {State.DRAINED, State.DRAINING},
+    State.DRAINED: {State.SERVING, State.DRAINING},
+    State.DRAINING: {State.STOPPED},
+    State.STOPPED: set(),
+}
+
+
+class IllegalMove(Exception):
+    """A change of phase that the table does not allow."""
+
+
 class Director:
     def __init__(self, config: Config, service: ServiceConfig | None = None) -> None:
         self.config, self.service = config, service
@@ -89,6 +113,25 @@
             config.most_held,
             *self._parts(),
         )
+        self.bridge = self._bridge()
+
+    def _bridge(self) -> Bridge | None:
+        """The director's side of the operators' door, where the configuration gives one."""
+        if self.config.admin is None:
+            return None
+        from onyxwick.door.bridge import Bridge, lasting
+
+        bridge = Bridge(
+            self.core,
+            self.members,
+            self.counters,
+            self.ready_word,
+            self._drained,
+            lasting(os.environ.get("TMPDIR"), self.config.name),
+        )
+        bridge.recall()
+        self.core.shown = bridge.shown
+        return bridge
 
     def _durable(self) -> Durable | None:
         """What lasted, read before anything is decided. Refused (a StoreError) rather than half of it."""
@@ -141,12 +184,28 @@
         return Holding(self.cells, *most), self.cells.plan.policy.tenant_field
 
     def is_ready(self) -> bool:
-        return self.state is State.SERVING and self.members.loaded
+        """Whether new clients are welcome; may be asked from the door's thread."""
+        drained = self.bridge is not None and self.bridge.orders.drained
+        return self.state is State.SERVING and self.members.loaded and not drained
+
+    def ready_word(self) -> str:
+        if self.state in (State.DRAINING, State.STOPPED):
+            return "END"
+        return "YES" if self.is_ready() else "NO"
 
     def _enter(self, state: State) -> None:
+        if state not in MOVES[self.state]:
+            raise IllegalMove(f"from {self.state.value} to {state.value}")
         self.state = state
         log.info(state.value, name=self.config.name)
 
+    def _drained(self, drained: bool) -> None:
+        """The operators' drain, or its end: connections end as soon as they owe nothing, or stay."""
+        if self.state not in (State.SERVING, State.DRAINED):
+            return  # starting, the first state entered takes it; ending, connections close anyway
+        self._enter(State.DRAINED if drained else State.SERVING)
+        self.front.close(drained)
+
     def _signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
@@ -195,7 +254,8 @@
             log.info("plan of cells changed", version=self.cells.plan.version)
 
     def print_counters(self) -> None:
-        print(self.counters.text(), flush=True)
+        door = self.door_counters
+        print(self.counters.text() if door is None else self.counters.merged(door).text(), flush=True)
 
     async def run(self, handed: socket.socket | None = None) -> None:
         """STARTING to STOPPED; returns when everything taken is answered.
@@ -225,10 +285,15 @@
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
             gc.collect()  # else what imports have left would be kept for good
             gc.freeze()  # what lives from the start need not be looked through again
+            door = self._open_door(loop, side)
             accepting = loop.create_task(self.front.accept(sock))
-            self._enter(State.SERVING)
+            drained = self.bridge is not None and self.bridge.orders.drained
+            self._enter(State.DRAINED if drained else State.SERVING)
+            self.front.close(drained)
             await self.leaving.wait()
             await self._drain(accepting, sock)
+        if door is not None:
+            door.stop()
         for task in side:
             task.cancel()
         await asyncio.gather(*side, return_exceptions=True)
@@ -268,6 +333,33 @@
         if watch is not None:
             watch.stop(self.core.now())
 
+    def _open_door(self, loop: asyncio.AbstractEventLoop, side: list[asyncio.Task[None]]) -> Door | None:
+        """The operators' door in its own thread; Unusable where its address cannot be listened on."""
+        bridge, address = self.bridge, self.config.admin
+        if bridge is None or address is None:
+            return None
+        from onyxwick.door.server import Door
+
+        try:
+            bound = front.listen(address)
+        except OSError as error:
+            raise Unusable(
+                f"the operators' door cannot listen on {written(address)}: {error.strerror}"
+            ) from None
+        bridge.loop = loop
+        door = Door(bound, address, bridge, bridge.orders, bridge.known, bridge.lasting, unix_us)
+        door.start()
+        side.append(loop.create_task(self._publish(bridge)))
+        self.door_counters = door.counters
+        return door
+
+    door_counters: Counters | None = None
+
+    async def _publish(self, bridge: Bridge) -> None:
+        while True:
+            bridge.publish()
+            await asyncio.sleep(FIGURES_S)
+
     async def _collect(self) -> None:
         while True:
             await asyncio.sleep(GC_ALL_S)
@@ -323,7 +415,7 @@
         await asyncio.gather(accepting, return_exceptions=True)
         if not self.handed:
             sock.close()
-        await self.front.finish()
+        await self.front.finish(FINISH_S)
 
 
 def read_service() -> ServiceConfig | None:
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -174,6 +174,9 @@
         if settings.subscribe:
             self.out.append(i.Subscribe())
 
+    def ejected(self) -> int:
+        return sum(peer.ejected for peer in self.peers.values())
+
     def handle(self, now: int, events: list[i.Event]) -> list[i.Action]:
         self.now = now
         for event in events:
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -153,6 +153,7 @@
         self.open: dict[int, Life | None] = {}  # by FastCGI number
         self.cell: str | None = None  # whose part of the places it takes, where there are cells
         self.ending = False  # to be closed when all that is open on it is answered
+        self.shut_at = 0.0  # when its end was written: what the client sends after it crossed the close
         self.calls = self.faults = 0
         self.born = self.used_at = self.half_since = time.monotonic()
 
@@ -253,14 +254,36 @@
 
     def _send(self, number: int, data: bytes) -> None:
         self.parser.open.discard(number)
+        if self.shut_at:
+            return  # its end has been written: nothing more can be
         self.used_at = time.monotonic()
         holding = self.front.holding
         release = holding.hold(self.cell, len(data)) if holding is not None and self.cell else None
+        if self.front.closing and not self.open:
+            release = partial(self._written, release)
         self.outbox.post(Parcel(data, release=release))
         if self.answered is not None and not self.answered.done():
             self.answered.set_result(None)
 
+    def _written(self, release: Callable[[], None] | None) -> None:
+        """The last answer owed has been written while the front closes: the connection ends if it may."""
+        if release is not None:
+            release()
+        now = time.monotonic()
+        if self.front.closing and self.free(now, 0.0):
+            self.close_softly(now)
+
+    def close_softly(self, now: float) -> None:
+        """End a connection that owes nothing: its end is written, and what still comes is read and passed
+        over, so that no reset takes the last answer along. The client sends what crossed the close again."""
+        self.ending, self.shut_at = True, now
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def _call(self, call: fastcgi.Call) -> None:
+        if self.shut_at:
+            self.front.counters.add("client.crossed")  # sent as the close came: the client sends it again
+            return
         self.ending |= not call.keep
         name = call.params.get(b"SCRIPT_NAME", b"")
         if name == b"/ping":
@@ -352,6 +375,19 @@
         self.classes = {c.name: c for c in core.settings.classes}
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
         self.tally = Tally()
+        self.closing = False  # drained or leaving: each connection ends as soon as it owes nothing
+
+    def close(self, closing: bool) -> None:
+        """From now on (or no longer) end every connection as soon as nothing is owed on it."""
+        self.closing = closing
+        if closing:
+            self.close_free()
+
+    def close_free(self) -> None:
+        now = time.monotonic()
+        for client in list(self.clients):
+            if client.free(now, 0.0):
+                client.close_softly(now)
 
     def bad(self, text: str) -> None:
         self.counters.add("bad.client")
@@ -362,8 +398,12 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
+            if self.closing:
+                self.close_free()
             for client, task in list(self.clients.items()):
-                if client.outbox.stalled(now, STALLED_S):
+                if client.shut_at and now - client.shut_at > LINGER_S:
+                    task.cancel()  # its end was written, and the client does not close its own
+                elif client.outbox.stalled(now, STALLED_S):
                     self.counters.add("client.stalled")
                     task.cancel()
                 elif client.overstays(now):
@@ -404,13 +444,19 @@
             self.clients[client] = task
             task.add_done_callback(lambda _, client=client: self.clients.pop(client, None))  # type: ignore[misc]
 
-    async def finish(self) -> None:
-        """Wait until all that is owed is answered and written, then close every connection."""
-        while True:
-            await self.core.idle.wait()
-            if not any(unread(client.sock) for client in self.clients):
-                break
+    async def finish(self, most_s: float) -> None:
+        """Answer all that is owed, end each connection as soon as it owes nothing, then close the rest.
+
+        Clients go on using open connections for a while: those are ended softly as they come free, for up to
+        `most_s` seconds; what is owed is waited for, however long.
+        """
+        end = time.monotonic() + most_s
+        self.close(True)
+        while (self.clients and time.monotonic() < end) or not self.core.idle.is_set():
+            self.close_free()
             await asyncio.sleep(READ_S)  # a request that has come is owed its answer, if not yet read
+        while any(unread(client.sock) for client in self.clients) or not self.core.idle.is_set():
+            await asyncio.sleep(READ_S)
         for client in list(self.clients):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(STALLED_S):
