The old process of an upgrade refuses new calls on its connections, so each comes free

A probe log at each step of Front.finish showed the old process at SIGTERM with 5 to 21 connections and 23 to 54 requests owed, and never past its first step: the platform's clients go on using open connections for as long as they are open, each carried new calls before the last one ended, so none came free, the core was never idle, and SIGKILL took what came after 0.7 s. Excluded: crossed closes (client.crossed 0 to 1 a process), stalled writes (the second step was never reached), the door (no call was late or wrong).

Change: on SIGTERM with a successor on the held socket, a new call on an open connection is refused at once (503, Retry-After-Ms 100, counted as answer.passed_on; nothing was sent, so a booking may be refused too), connections end softly as soon as they owe nothing, and the process leaves when none is left. Front.finish logs its three steps.

--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -415,7 +415,7 @@
         await asyncio.gather(accepting, return_exceptions=True)
         if not self.handed:
             sock.close()
-        await self.front.finish(FINISH_S)
+        await self.front.finish(FINISH_S, passing_on=self.handed)
 
 
 def read_service() -> ServiceConfig | None:
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -37,6 +37,7 @@
 )
 READ_S = 0.01
 REST_S = 0.25  # after it came, and after each answer, a client is left its place
+PASSED_ON_US = 100_000  # a new call while the connection is to end: the client is told to come back so soon
 SWEEP_S = 0.25
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed, for want of descriptors as a rule
@@ -301,6 +302,11 @@
         except ValueError as error:
             self._fault(str(error))
             return self._send(call.number, fastcgi.answer(call.number, "400 Bad Request", {}, b""))
+        if self.front.passing_on:
+            # The connection is to end and would never come free: the client tries again, on a new one.
+            self.front.counters.add("answer.passed_on")
+            answer = Answer(Verdict.REFUSED, retry_after_us=self.front.passed_on_us)
+            return self._send(call.number, answer_bytes(call.number, answer))
         if self.front.tally.held > self.front.most_held:
             self.front.counters.add("answer.overloaded")
             return self._send(call.number, fastcgi.end_request(call.number, fastcgi.Protocol.OVERLOADED))
@@ -370,16 +376,19 @@
         self.tenant_field = f"HTTP_{tenant_field.upper().replace('-', '_')}".encode() if tenant_field else b""
         limits = core.settings.limits
         self.retry_us = min(limits.max_retry_after_us, UNREAD_WAIT_US) if limits.retry_after else 0
+        self.passed_on_us = min(limits.max_retry_after_us, PASSED_ON_US) if limits.retry_after else 0
         self.core, self.counters, self.ready = core, counters, ready
         self.most_clients, self.most_held = most_clients, most_held
         self.classes = {c.name: c for c in core.settings.classes}
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
         self.tally = Tally()
         self.closing = False  # drained or leaving: each connection ends as soon as it owes nothing
+        self.passing_on = False  # new calls on open connections are refused, so that each comes free
 
-    def close(self, closing: bool) -> None:
-        """From now on (or no longer) end every connection as soon as nothing is owed on it."""
-        self.closing = closing
+    def close(self, closing: bool, passing_on: bool = False) -> None:
+        """From now on (or no longer) end every connection as soon as nothing is owed on it; `passing_on`:
+        refuse new calls meanwhile, where clients would go on using a connection for as long as it is open."""
+        self.closing, self.passing_on = closing, closing and passing_on
         if closing:
             self.close_free()
 
@@ -444,19 +453,23 @@
             self.clients[client] = task
             task.add_done_callback(lambda _, client=client: self.clients.pop(client, None))  # type: ignore[misc]
 
-    async def finish(self, most_s: float) -> None:
+    async def finish(self, most_s: float, passing_on: bool) -> None:
         """Answer all that is owed, end each connection as soon as it owes nothing, then close the rest.
 
         Clients go on using open connections for a while: those are ended softly as they come free, for up to
-        `most_s` seconds; what is owed is waited for, however long.
+        `most_s` seconds; what is owed is waited for, however long. `passing_on`: a successor serves already,
+        and clients keep using open connections for as long as they are open: new calls are refused.
         """
         end = time.monotonic() + most_s
-        self.close(True)
+        self.close(True, passing_on)
+        log.info("ending", clients=len(self.clients), owed=len(self.core.lives))
         while (self.clients and time.monotonic() < end) or not self.core.idle.is_set():
             self.close_free()
             await asyncio.sleep(READ_S)  # a request that has come is owed its answer, if not yet read
+        log.info("ending the rest", clients=len(self.clients), owed=len(self.core.lives))
         while any(unread(client.sock) for client in self.clients) or not self.core.idle.is_set():
             await asyncio.sleep(READ_S)
+        log.info("ended", clients=len(self.clients), crossed=self.counters.counts["client.crossed"])
         for client in list(self.clients):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(STALLED_S):
