--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -12,6 +12,7 @@
 Where the platform holds the clients' listening socket (files named `handed_*`), the test makes it and hands
 it down as the platform does; `program upgrade -` starts a successor on it and waits until it serves, and
 `program term -` sends SIGTERM to the one that runs longest, waits for its clean exit, leaves the successor.
+`door` is the operators' door (files `door_*` and `handed_*`), `next` the door of the first successor.
 """
 
 from __future__ import annotations
@@ -33,8 +34,9 @@
 LISTEN, COORDINATOR, DNS = ("127.77.0.1", 15050), ("127.77.200.1", 17070), ("127.77.0.1", 15353)
 MOVED = ("127.77.200.2", 17070)
 ADMIN = ("127.77.0.1", 18053)
+DOOR = ("127.77.0.1", 19600)  # the operators' door, of files named `door_*` and `handed_*`
 WAITS = {"service.hcl": "DNS front on", "cells.hcl": "administration API on"}
-TCP = {"client": LISTEN, "tcp": DNS, "admin": ADMIN}
+TCP = {"client": LISTEN, "tcp": DNS, "admin": ADMIN, "door": DOOR, "next": (DOOR[0], DOOR[1] + 1)}
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -45,7 +47,7 @@
 class Exchange:
     """The program with its stand-ins."""
 
-    def __init__(self, folder: Path, service: str = "", handed: bool = False) -> None:
+    def __init__(self, folder: Path, service: str = "", handed: bool = False, door: bool = False) -> None:
         self.config = json.loads((FOLDER / "config.json").read_text())
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
@@ -56,6 +58,9 @@
         self.path = folder / "config.json"
         self.path.write_text(json.dumps(self.config))
         environment = {**os.environ, "RELAY_CONFIG": str(self.path), "ONYXWICK_SERVICE": str(folder / "none")}
+        environment["TMPDIR"] = str(folder)  # shared by a process and its successor, as the platform does
+        if door or handed:
+            environment["RELAY_ADMIN"] = f"{DOOR[0]}:{DOOR[1]}"
         if service:
             for name in (service, "operator.token", "depot.zone"):
                 shutil.copy(FOLDER / name, folder)
@@ -149,6 +154,7 @@
             return self._until(text)
         if what == "upgrade":
             self.older.append(self.program)
+            self.environment["RELAY_ADMIN"] = f"{DOOR[0]}:{DOOR[1] + len(self.older)}"
             self.program = self._start()
             return self._until("serving")
         if what == "term":
