Answered idle connections give up their place first, ended softly, with no rest

A probe log at each refusal showed the 120 places held by 91 to 102 connections answered in the last 0.25 s and idle, 14 to 24 owed, 4 to 6 just come, none in half a call: the crowd that asks once and stays, kept by the rest of 0.25 s after each answer. Excluded: memory (28 of 40 MB), descriptors of links, half-written calls (0 at each refusal).

Cause: Front._make_room (lines of free(now, REST_S)) gave a connection answered a moment ago its place for 0.25 s, against an early close that could reset the answer on its way. A soft end (the end written after the last answer, what follows read and passed over) cannot.

Change: net/room.py, pure, orders who gives up a place: answered and owing nothing first, idle longest first, with no rest; then one that sent nothing for 0.25 s since it came; then one in half a call without a byte for 1 s; never one owed, with answers to write or with bytes unread. The displaced one is ended softly; those ending hold at most one place in 16 beside the live ones, beyond that the close is plain.

--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -16,7 +16,7 @@
 from onyxwick.config import ConfigError
 from onyxwick.core import Answer, Core, Life, Request, Verdict
 from onyxwick.counters import Counters
-from onyxwick.net import fastcgi
+from onyxwick.net import fastcgi, room
 from onyxwick.net.buffer import unread
 from onyxwick.net.outbox import Outbox, Parcel, Tally
 
@@ -36,7 +36,7 @@
     0.5  # what a client still sends is read for so long, as a close on unread bytes takes the answer away
 )
 READ_S = 0.01
-REST_S = 0.25  # after it came, and after each answer, a client is left its place
+SHUT_SHARE = 16  # one in so many client places may be held by a connection whose end is written already
 PASSED_ON_US = 100_000  # a new call while the connection is to end: the client is told to come back so soon
 SWEEP_S = 0.25
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
@@ -278,6 +278,7 @@
         """End a connection that owes nothing: its end is written, and what still comes is read and passed
         over, so that no reset takes the last answer along. The client sends what crossed the close again."""
         self.ending, self.shut_at = True, now
+        self.front.shut.add(self)
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
@@ -338,6 +339,17 @@
         del self.open[number]
         self._send(number, answer_bytes(number, answer))
 
+    def seat(self) -> room.Seat:
+        return room.Seat(
+            self.calls,
+            len(self.open),
+            self.outbox.pending,
+            self.parser.half,
+            self.born,
+            self.used_at,
+            self.ending,
+        )
+
     def free(self, now: float, rest_s: float) -> bool:
         """May it be closed with nothing lost: nothing owed, nothing unread, and at rest for so long?
 
@@ -382,6 +394,7 @@
         self.classes = {c.name: c for c in core.settings.classes}
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
         self.tally = Tally()
+        self.shut: set[Client] = set()  # their end is written; they go as soon as the client closes its own
         self.closing = False  # drained or leaving: each connection ends as soon as it owes nothing
         self.passing_on = False  # new calls on open connections are refused, so that each comes free
 
@@ -420,14 +433,18 @@
                     task.cancel()
 
     def _make_room(self) -> bool:
-        """End the connection that is least missed: one that never asked, else the one idle for longest."""
+        """End the connection that is least missed (`room.order`) to make room for a newcomer."""
         now = time.monotonic()
-        least_first = sorted(self.clients, key=lambda c: (c.calls > 0, c.used_at))
-        least = next((c for c in least_first if c.free(now, REST_S)), None)
+        ranked = [(rank, c) for c in self.clients if (rank := room.order(c.seat(), now)) is not None]
+        ranked.sort(key=lambda pair: pair[0])
+        least = next((client for _, client in ranked if not unread(client.sock)), None)
         if least is None:
             return False
         self.counters.add("client.displaced")
-        self.clients.pop(least).cancel()
+        if len(self.shut) < max(4, self.most_clients // SHUT_SHARE):
+            least.close_softly(now)
+        else:
+            self.clients.pop(least).cancel()  # nothing owed, nothing unread: its close resets nothing
         return True
 
     async def accept(self, sock: socket.socket) -> None:
@@ -441,7 +458,7 @@
                 log.warning("accept failed", error=str(error))
                 await asyncio.sleep(ACCEPT_PAUSE_S)
                 continue
-            if len(self.clients) >= self.most_clients and not self._make_room():
+            if len(self.clients) - len(self.shut) >= self.most_clients and not self._make_room():
                 self.counters.add("client.refused")
                 conn.close()
                 continue
@@ -451,7 +468,11 @@
             client = Client(self, conn)
             task = loop.create_task(client.run())
             self.clients[client] = task
-            task.add_done_callback(lambda _, client=client: self.clients.pop(client, None))  # type: ignore[misc]
+            task.add_done_callback(partial(self._gone, client))
+
+    def _gone(self, client: Client, _: asyncio.Task[None]) -> None:
+        self.clients.pop(client, None)
+        self.shut.discard(client)
 
     async def finish(self, most_s: float, passing_on: bool) -> None:
         """Answer all that is owed, end each connection as soon as it owes nothing, then close the rest.
