--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -190,3 +190,15 @@
 
     stand = make(folder, directors, rate, seconds, seed)
     click.echo(json.dumps({"requests": stand.requests, "files": [path.name for path in stand.paths]}))
+
+
+@lab.command()
+@click.option("--calls", default=100, show_default=True, help="Calls timed in each phase, of each kind.")
+@click.option(
+    "--flooders", default=64, show_default=True, help="Clients that connect, ping and leave at once."
+)
+def door(calls: int, flooders: int) -> None:
+    """Time the operators' door against the front's pings, calm and while the front is flooded (JSON)."""
+    from onyxwick.lab.door import measure
+
+    click.echo(json.dumps(measure(calls, flooders)))
