Measured: durable changes at 100 a second, and what a store costs a request

Change: onyxwick lab changes (open loop, half API calls, half signed RFC 2136 updates over TCP, store off and on in turn on directors of their own) and onyxwick lab storing (with a store, without, and without again for the noise, at the same seeds).

--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -146,6 +146,17 @@
     click.echo(json.dumps(compared(file, pairs, seed)))
 
 
+@lab.command()
+@path_argument
+@click.option("--pairs", default=3, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def storing(file: Path, pairs: int, seed: int) -> None:
+    """What a store costs the director: with it, without it, and without it again, as JSON."""
+    from onyxwick.lab.cost import storing as compared
+
+    click.echo(json.dumps(compared(file, pairs, seed)))
+
+
 @lab.command()
 @click.option("--boxes", default=1000, show_default=True)
 @click.option("--tenants", default=10_000, show_default=True)
@@ -202,3 +213,22 @@
     from onyxwick.lab.door import measure
 
     click.echo(json.dumps(measure(calls, flooders)))
+
+
+@lab.command()
+@path_argument
+@click.option(
+    "--rate", default=100.0, show_default=True, help="Changes a second, half by the API, half by DNS."
+)
+@click.option("--seconds", default=10.0, show_default=True, help="Of each play.")
+@click.option("--rounds", default=2, show_default=True, help="Plays of each variant, in turn.")
+def changes(file: Path, rate: float, seconds: float, rounds: int) -> None:
+    """Time durable changes of the API and of DNS updates, with the store off and on (JSON lines).
+
+    FILE is a scenario, for the classes of its settings.
+    """
+    from onyxwick.lab.changes import measure
+    from onyxwick.lab.scenario import read
+
+    for row in measure(read(file), rate, seconds, rounds):
+        click.echo(json.dumps(row))
--- a/onyxwick/lab/cost.py
+++ b/onyxwick/lab/cost.py
@@ -190,6 +190,20 @@
     return {"runs": rows, "on": _ratios(rows, "on", "off"), "noise": _ratios(rows, "again", "off")}
 
 
+def storing(path: Path, pairs: int, seed: int) -> dict[str, Any]:
+    """The director with a store (bookings' intents durable before their send) and without, alternating, at
+    the same seeds; and once more without, which tells the noise."""
+    rows = [
+        {
+            "on": _one(path, seed + n, store=True),
+            "off": _one(path, seed + n),
+            "again": _one(path, seed + n),
+        }
+        for n in range(pairs)
+    ]
+    return {"runs": rows, "on": _ratios(rows, "on", "off"), "noise": _ratios(rows, "again", "off")}
+
+
 def _ratios(rows: list[dict[str, dict[str, Any]]], one: str, other: str) -> dict[str, Any]:
     """Ratios pair by pair: median and ends."""
     out = {}
@@ -204,9 +218,15 @@
 
 
 def _one(
-    path: Path, seed: int, program: Path | None = None, trace: Path | None = None, idle: bool = False
+    path: Path,
+    seed: int,
+    program: Path | None = None,
+    trace: Path | None = None,
+    idle: bool = False,
+    store: bool = False,
 ) -> dict[str, Any]:
     words = [sys.executable, "-m", "onyxwick", "lab", "play", str(path), "--seed", str(seed), "--no-cells"]
+    words += ["--store"] if store else []
     words += ["--program", str(program)] if program else []
     words += ["--trace", str(trace)] if trace else []
     words += ["--idle"] if idle else []
