Refactor: pacing after a start moves from store/ to core/

Need: the pacing of a director's way back after a start (seeded waits, limits that rise) is to be used by the coordinator's feed and the links to caches, in net/, which may import core but not the store; it concerns every start, with a store or without.

Change: onyxwick/store/pacing.py is now onyxwick/core/pacing.py, unchanged; its test imports it from there.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -21,7 +21,7 @@
 from onyxwick.counters import Counters
 from onyxwick.store import Failed, Full, Refused
 from onyxwick.store.durable import Durable, unpack
-from onyxwick.store.pacing import Comeback, Pace
+from onyxwick.core.pacing import Comeback, Pace
 from onyxwick.store.recovery import LEGAL, Drain, IllegalPhase, Phase, Purge, Recovery
 from onyxwick.store.sealing import Sealer, new_key, read_keys
 from onyxwick.tenants import Tenants
