--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -18,10 +18,10 @@
 from onyxwick.core import Core, Order, Outcome, Request
 from onyxwick.core.members import Members
 from onyxwick.core.model import Answer, Verdict
+from onyxwick.core.pacing import Comeback, Pace
 from onyxwick.counters import Counters
 from onyxwick.store import Failed, Full, Refused
 from onyxwick.store.durable import Durable, unpack
-from onyxwick.core.pacing import Comeback, Pace
 from onyxwick.store.recovery import LEGAL, Drain, IllegalPhase, Phase, Purge, Recovery
 from onyxwick.store.sealing import Sealer, new_key, read_keys
 from onyxwick.tenants import Tenants
