Directors that come back together: the feed's waits drawn, a store's director paced

Change: the feed is called again after a wait drawn below a bound that doubles (100 ms up to 1 s, full jitter, from the director's seed) in place of every 100 ms, and anew after each line heard; a director that comes back from its store also waits before its first call to the feed (spread over 2 s by the number of directors) and opens its connections to each member step by step (from a fifth of the usual to all over 10 s, two at least). Without a store the first call is at once, as before. The lab kills all directors at once ('crash' of 'all'), gives each its own store, and counts connects at the coordinator and the boxes.

Tests: test_front.py (links grow with the share; two directors' waits differ and keep their bound).

--- /dev/null
+++ b/examples/lab/herd-40.hcl
@@ -0,0 +1,5 @@
+# As herd.hcl, with forty directors.
+scenario {
+  extends   = "herd.hcl"
+  directors = 40
+}
--- a/onyxwick/lab/machines.py
+++ b/onyxwick/lab/machines.py
@@ -48,6 +48,7 @@
         self.server: asyncio.Server | None = None
         self.clients: set[asyncio.StreamWriter] = set()
         self.hits = self.fills = 0
+        self.connects: list[int] = []  # when each connection came, Unix microseconds
 
     # ---- life -------------------------------------------------------------------------------------------
 
@@ -163,6 +164,7 @@
 
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.clients.add(writer)
+        self.connects.append(self.world.clock())
         parser, tasks = resp.Parser(), dict[bytes, asyncio.Task[None]]()
         try:
             while data := await reader.read(65_536):
@@ -244,8 +246,9 @@
 class Coordinator:
     """The feed: numbered events, and the last number each second."""
 
-    def __init__(self, address: Address) -> None:
-        self.address = address
+    def __init__(self, address: Address, clock: Callable[[], int]) -> None:
+        self.address, self.clock = address, clock
+        self.connects: list[int] = []  # when each connection came, Unix microseconds
         self.events: list[bytes] = []
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -271,6 +274,7 @@
         task = asyncio.current_task()
         assert task is not None
         self.clients.add(task)
+        self.connects.append(self.clock())
         try:
             await self._feed(reader, writer)
         finally:
@@ -278,7 +282,8 @@
             writer.transport.abort()
 
     async def _feed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(ConnectionError, ValueError, asyncio.CancelledError):
+        # RuntimeError: a write after the director's end closed the transport (uvloop's way to say so).
+        with contextlib.suppress(ConnectionError, ValueError, RuntimeError, asyncio.CancelledError):
             last = int((await reader.readline()).split()[1])
             while True:
                 changed = self.changed
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -46,6 +46,7 @@
 SERVICE_FILE = Path(__file__).parents[1] / "deploy" / "service.hcl"
 TRACE_TICK_S = 0.25
 RECOVERY_TICK_S = 0.5
+FEED_DRAW, BACK_DRAW = 0xFEED, 0xBAC  # mixed into the seed: each draw of its own
 LINGER_S = 0.75  # after SIGTERM connections and requests still come for so long
 
 GC_EVERY = 20_000  # new objects between collections of the young
@@ -105,7 +106,10 @@
             decide=Router if plan is None else partial(self._with_cells, plan),
         )
         self.durable = self._durable()
-        self.coordinator = Coordinator(self.core, self.counters)
+        routers = config.settings.routers
+        self.coordinator = Coordinator(self.core, self.counters, config.seed ^ FEED_DRAW, routers)
+        if self.durable is not None:
+            self._paced()
         self.front = front.Front(
             self.core,
             self.counters,
@@ -159,6 +163,16 @@
         self._recorded_plan(durable)
         return durable
 
+    def _paced(self) -> None:
+        """Coming back from its store, a director may be one of many that do at once: it calls for the feed
+        after a wait drawn from its seed, and opens its connections to caches step by step (core/pacing.py).
+        It serves meanwhile from what it recovered and what the configuration told."""
+        from onyxwick.core.pacing import Comeback, Pace
+
+        back = Comeback(self.config.seed ^ BACK_DRAW, self.core.now(), Pace(), self.config.settings.routers)
+        self.coordinator.first_us = back.wait_us
+        self.caches.share = lambda: back.share(self.core.now())
+
     def _recorded_plan(self, durable: Durable) -> None:
         """The plan that a call has made goes before the file's, which it was made from."""
         row = durable.plan()
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import cache
 
@@ -277,8 +278,10 @@
         connect_us: int,
         report_names: tuple[str, ...] = (),
         most_links: int = 256,
+        share: Callable[[], float] | None = None,
     ) -> None:
         self.members, self.counters, self.report_names = members, counters, report_names
+        self.share = share  # of the usual connections to each member, while a director comes back
         self.connect_s = (connect_us or 400_000) / 1e6
         self.most_links = most_links
         self.links: dict[str, list[Link]] = {}
@@ -325,8 +328,9 @@
         return least
 
     def _most_each(self) -> int:
-        """Connections to one member, so that all members have theirs."""
-        return max(LINKS_LEAST, min(LINKS_MOST, self.most_links // (len(self.members.listed) + 1)))
+        """Connections to one member, so that all members have theirs; fewer while a director comes back."""
+        most = min(LINKS_MOST, self.most_links // (len(self.members.listed) + 1))
+        return max(LINKS_LEAST, int(most * self.share()) if self.share is not None else most)
 
     def _close_idle(self) -> None:
         idle = [link for links in self.links.values() for link in links if not link.calls]
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -12,13 +12,15 @@
 from onyxwick import logs
 from onyxwick.config.address import read_address
 from onyxwick.core import Core
+from onyxwick.core.pacing import Comeback, Pace
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer
 
 log = logs.get()
 SILENT_S = 2.2  # a line comes each second: without one for so long the connection is broken
 CONNECT_S = 0.8  # with the silence before it under the 4 s after which an event counts as told
-AGAIN_S = 0.1  # between attempts to connect
+AGAIN_US = 100_000  # the first wait after a failed or lost connection; the next ones doubled, drawn below
+AGAIN_MOST_US = 1_000_000  # a wait at most: with a connect and a silence, the feed is back well within 4 s
 MAX_LINE = 4_194_304
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
@@ -45,10 +47,17 @@
 
 
 class Coordinator:
-    """Follows the coordinator's feed and hands its events to the core."""
+    """Follows the coordinator's feed and hands its events to the core.
 
-    def __init__(self, core: Core, counters: Counters) -> None:
+    `comeback` draws the waits between attempts (core/pacing.py), so that directors that lost the feed
+    together do not all call again together; `first_us` is waited before the first call, where a director has
+    what it needs to serve meanwhile and many may come back at once.
+    """
+
+    def __init__(self, core: Core, counters: Counters, seed: int = 0, directors: int = 1) -> None:
         self.core, self.counters = core, counters
+        self.comeback = Comeback(seed, core.now(), Pace(most_us=AGAIN_MOST_US), directors)
+        self.first_us = 0
         self.last = 0
         self.announced = 0  # the last number that a line named alone
         self.address = ("", 0)
@@ -112,6 +121,7 @@
     async def follow(self, address: tuple[str, int]) -> None:
         """Keep a connection to the feed until cancelled."""
         self.address = address
+        await asyncio.sleep(self.first_us / 1e6)
         while True:
             try:
                 await self._follow_once()
@@ -123,7 +133,7 @@
                 log.exception("error in the coordinator's events")
             finally:
                 self.limit = None
-            await asyncio.sleep(AGAIN_S)
+            await asyncio.sleep(self.comeback.next_try_us(AGAIN_US) / 1e6)
 
     async def _follow_once(self) -> None:
         loop, buffer = asyncio.get_running_loop(), Buffer()
@@ -138,6 +148,7 @@
                     while (end := buffer.find(b"\n")) >= 0:
                         if line := buffer.take(end + 1).strip():
                             self.line(line)
+                            self.comeback.heard()
                             self.limit.reschedule(loop.time() + SILENT_S)
                     if len(buffer) > MAX_LINE:
                         raise OSError("line too long")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -76,3 +76,27 @@
     assert order(seat(calls=0, born=now - REST_S, used_at=now - REST_S), now) == (1, now - REST_S)
     assert order(seat(calls=0, half=True, used_at=now - HALF_REST_S / 2), now) is None  # a slow writer
     assert order(seat(calls=0, half=True, used_at=now - HALF_REST_S), now) == (2, now - HALF_REST_S)
+
+
+def test_connections_to_a_member_grow_with_the_share_that_a_director_coming_back_allows_itself() -> None:
+    from onyxwick.net.caches import LINKS_LEAST, Caches
+
+    members, counters, share = Members(), Counters(), [0.2]
+    caches = Caches(members, counters, 0, most_links=256, share=lambda: share[0])
+    assert caches._most_each() == LINKS_LEAST
+    share[0] = 1.0
+    assert caches._most_each() == 8 and Caches(members, counters, 0, most_links=256)._most_each() == 8
+
+
+def test_the_feed_is_called_again_after_waits_drawn_below_a_bound_that_doubles() -> None:
+    from onyxwick.net.coordinator import AGAIN_MOST_US, AGAIN_US, Coordinator
+
+    async def play() -> list[list[int]]:
+        members, counters = Members(), Counters()
+        core = Core(SETTINGS, 7, Caches(members, counters, 0), members, counters)
+        feeds = [Coordinator(core, counters, seed, 40) for seed in (1, 2)]
+        return [[feed.comeback.next_try_us(AGAIN_US) for _ in range(8)] for feed in feeds]
+
+    one, two = asyncio.run(play())
+    assert one != two  # two directors that lost the feed together do not call again together
+    assert all(row[0] <= AGAIN_US and max(row) <= AGAIN_MOST_US for row in (one, two))
