A load limit grows only from answers that came while half of it was in use

At fault: logic.py, Router._room: every answer in time added to the room, whether or not the limit had been anywhere near reached. Now, as in RFC 7661's validation of a congestion window, an answer in time raises the room only when at least half of the limit last computed for that member was in use; lateness still cuts at once.

Test: tests/test_scale.py, one by one under a limit of many the room stays, at it it grows.

--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -56,6 +56,7 @@
 ROOM_LEAST, ROOM_MOST = 0.02, 2.0  # bounds of the learned factor on a load limit
 HEARD_US = 4 * S  # over which a member's answers are counted
 HEARD_PER_S = 12.0  # answers a second for which the steps of a load limit are meant; fewer take longer steps
+USED = 0.5  # of a load limit in use at an answer, for that answer to be evidence that the limit holds
 ROOM_STEP = 0.005  # gained by each answer in time: against LATE_CUT it sets the late share that is borne
 
 
@@ -101,6 +102,7 @@
     ended_at: int = 0  # end and length of the last attempt at it or through it
     lasted: int = 0
     broke_at: int = -BROKE_US  # when an attempt was last cut off
+    allowed: float = 0.0  # transfers at once that the last load limit allowed
     pending: dict[tuple[str, int], None] = field(default_factory=dict)
     spent: deque[list[float]] = field(default_factory=deque)  # [time, cost] within the overload window
 
@@ -410,7 +412,7 @@
         # One router's part may be under one transfer; in calm it is uneven by chance, so a deviation
         # comes on top. Late answers shrink both: what is slow holds its place, so the limit clocks itself.
         chance = min(math.sqrt(limit) + 1, math.sqrt(routers - 1))
-        allowed = peer.room * (limit + chance)
+        allowed = peer.allowed = peer.room * (limit + chance)
         if allowed >= 1:
             return len(peer.pending) < allowed
         # Less than one: by turns. After each one it rests for as long as makes that part the mean.
@@ -420,12 +422,16 @@
         """Learn how much a member takes in time: holds where about one answer in fifteen is late.
 
         A refusal or a fill that ran out of time cuts deeper than lateness: it has cost its work for nothing.
+        An answer in time while most of the limit lay unused proves nothing of it, and lets it be: else forty
+        routers that each grew theirs on a quiet day arrive at twice the room all at once (RFC 7661).
         """
         steps = max(1.0, HEARD_PER_S * HEARD_US / S / (peer.heard + 1))
         if not failed:
             peer.lateness += BLAME * (late - peer.lateness)
         cut = FAILED_CUT ** min(steps, FAILED_STEPS) if failed else LATE_CUT**steps
-        room = peer.room * cut if late else peer.room + ROOM_STEP * steps * min(1.0, max(peer.room, SLOWEST))
+        used = len(peer.pending) + 1 >= USED * peer.allowed
+        gain = ROOM_STEP * steps * min(1.0, max(peer.room, SLOWEST)) if used else 0.0
+        room = peer.room * cut if late else peer.room + gain
         peer.room = max(ROOM_LEAST, min(ROOM_MOST, room))
 
     def _cache(self, job: Job) -> Peer | None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -150,3 +150,20 @@
         for n in range(40):
             w.router._room(peer, n % 10 == 0)
         assert peer.room < start
+
+
+def test_a_limit_grows_only_where_it_was_in_use() -> None:
+    """Answers in time one by one under a limit of many leave it as it was; at the limit they raise it.
+
+    Forty routers that each grew theirs on a quiet day would arrive together at twice what was learned
+    (disco+vast: the archive's room at 1.8 in each, then 380 fills open at it and 156 time-outs).
+    """
+    for at_once, grows in ((1, False), (12, True)):
+        w = World(replace(SETTINGS, routers=40, routers_in_zone=1))
+        parent = w.router.peers["p0"]
+        for n in range(60):
+            asked = [fetched(w.ask(name=f"o{n}-{k}")) for k in range(at_once)]
+            for get in asked:
+                w.end(i.Status.OK, get.request, member=get.member, detail=i.Detail.FILLED)
+            w.pass_time(100_000)
+        assert (parent.room > 1.0) == grows
