The deviation over a router's share is lent only while its own use is under half of it

At fault: logic.py, Router._fits, the deviation lent whatever the router's own use. Now each member keeps a mean of the transfers open at it (2 s, sampled at each ask, which comes at random moments); the deviation is lent in full while that mean is under half the share and fades to none at the share, so that sustained use over it, which is what the whole fleet does at once, is held to the share.

Test: tests/test_scale.py, a burst takes the deviation, lasting use does not.

--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -57,6 +57,7 @@
 HEARD_US = 4 * S  # over which a member's answers are counted
 HEARD_PER_S = 12.0  # answers a second for which the steps of a load limit are meant; fewer take longer steps
 USED = 0.5  # of a load limit in use at an answer, for that answer to be evidence that the limit holds
+BUSY_US, CALM = 2 * S, 0.5  # the mean's time, and the share of a part in use up to which all is lent
 ROOM_STEP = 0.005  # gained by each answer in time: against LATE_CUT it sets the late share that is borne
 
 
@@ -103,6 +104,8 @@
     lasted: int = 0
     broke_at: int = -BROKE_US  # when an attempt was last cut off
     allowed: float = 0.0  # transfers at once that the last load limit allowed
+    busy: float = 0.0  # transfers open at once, a mean over the last seconds, as seen at each ask
+    busy_at: int = 0
     pending: dict[tuple[str, int], None] = field(default_factory=dict)
     spent: deque[list[float]] = field(default_factory=deque)  # [time, cost] within the overload window
 
@@ -410,8 +413,13 @@
             routers = self.set.routers_in_zone  # its size is not told: a part as large as of all own caches
             limit = LOAD_SHARE * stretch * max(1.0, sum(self._size(p) for p in self.caches)) / routers
         # One router's part may be under one transfer; in calm it is uneven by chance, so a deviation
-        # comes on top. Late answers shrink both: what is slow holds its place, so the limit clocks itself.
-        chance = min(math.sqrt(limit) + 1, math.sqrt(routers - 1))
+        # comes on top, lent only while this router's own mean use is under half its part: when all are
+        # over theirs at once, forty deviations would double what the member is asked for.
+        # Late answers shrink both: what is slow holds its place, so the limit clocks itself.
+        peer.busy += (1 - math.exp((peer.busy_at - self.now) / BUSY_US)) * (len(peer.pending) - peer.busy)
+        peer.busy_at = self.now
+        spare = min(1.0, max(0.0, (1 - peer.busy / limit) / (1 - CALM))) if limit > 0 else 1.0
+        chance = spare * min(math.sqrt(limit) + 1, math.sqrt(routers - 1))
         allowed = peer.allowed = peer.room * (limit + chance)
         if allowed >= 1:
             return len(peer.pending) < allowed
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -167,3 +167,30 @@
                 w.end(i.Status.OK, get.request, member=get.member, detail=i.Detail.FILLED)
             w.pass_time(100_000)
         assert (parent.room > 1.0) == grows
+
+
+def test_what_is_lent_over_a_share_is_taken_back_while_all_of_it_is_in_use() -> None:
+    """A burst may take more than a router's share of a parent; use that lasts may not (join+vast).
+
+    When a release sends every router over its share at once, forty deviations on top of forty shares
+    would ask the parent for twice what it takes.
+    """
+    w = World(replace(SETTINGS, routers=40))
+    parent, asked = w.router.peers["p0"], 0
+    open_: list[i.Attempt | i.Fetch] = []
+
+    def ask_many() -> float:
+        nonlocal asked
+        for _ in range(40):
+            asked += 1
+            open_.extend(sent(w.ask(name=f"o{asked}")))
+        return parent.allowed / parent.room  # the share and what is lent, before what was learned
+
+    burst = ask_many()
+    for _ in range(30):
+        w.pass_time(100_000)
+        ending, open_[:] = list(open_), []
+        lasting = ask_many()  # what was asked a step before is still open: each fill takes 100 ms
+        for get in ending:
+            w.end(i.Status.OK, get.request, member=get.member, latency=100_000, detail=i.Detail.FILLED)
+    assert parent.pending and lasting < burst / 2
