Refactor: the module's constructs that the formatter spread over lines, each on one or two

Change: the draw's cache, the location's size and link, a member's size and the test of a second copy are written in fewer lines, with no change of what they do (the same conditions, the same order of evaluation where it matters: none has a side effect).

--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -61,9 +61,8 @@
 ROOM_STEP = 0.005  # gained by each answer in time: against LATE_CUT it sets the late share that is borne
 
 
-@lru_cache(
-    maxsize=1 << 12
-)  # what a moment asks for again and again; more would be memory for what never comes
+# What a moment asks for again and again; more would be memory for what never comes.
+@lru_cache(maxsize=1 << 12)
 def _draw(key: str, address: str) -> float:
     """A stable exponential draw for a key at a member; the least, over its weight, comes first."""
     word = int.from_bytes(blake2b(f"{key}|{address}".encode(), digest_size=8).digest(), "big")
@@ -148,10 +147,8 @@
         self.classes = {c.name: c for c in settings.classes}
         self.peers: dict[str, Peer] = {}  # everything listed
         self.caches: list[Peer] = []
-        self.boxes, self.link = (
-            1,
-            0.0,
-        )  # most caches that this location had, its link in transfers if to be used
+        self.boxes = 1  # most caches that this location had
+        self.link = 0.0  # its link in transfers, if to be used
         self.others: dict[str, list[Peer]] = {}  # caches of other locations
         self.parents: list[Peer] = []
         self.origin: Peer | None = None
@@ -333,11 +330,8 @@
         """
         if not self.link:
             return peer.info.weight if peer.info.weight > 0 else 1.0
-        return (
-            self.link * PARENT_LINK
-            if peer.info.kind == self.set.parent_kind
-            else self.link / DRAWN / self.boxes
-        )
+        parent = peer.info.kind == self.set.parent_kind
+        return self.link * PARENT_LINK if parent else self.link / DRAWN / self.boxes
 
     def _tier(self, peer: Peer) -> tuple[float, int, float, float]:
         """Cold start, its rise, the overload multiple and the routers that share a member of this tier."""
@@ -775,15 +769,8 @@
         """
         jammed = any(p.lateness > JAMMED for p in (flight.peer, flight.source) if p)
         alone = sum(f.pending for f in job.flights) == 1 and len(job.flights) < self.set.limits.attempts
-        safe = job.kind.repeat is i.Repeat.SAFE and self.set.limits.second_copies
-        if (
-            jammed
-            or not alone
-            or not safe
-            or flight.doubled
-            or self.retries < 1
-            or flight.peer not in self.caches
-        ):
+        safe = job.kind.repeat is i.Repeat.SAFE and self.set.limits.second_copies and not flight.doubled
+        if jammed or not alone or not safe or self.retries < 1 or flight.peer not in self.caches:
             return
         cache, source = self._cache(job), self._source(job)
         if cache is not None and source is not None and cache is not flight.peer:
