Where no size is told, a location is taken to be made for what its clients ask for

To blame: _size gave 1 transfer to every member (weights are 'constantly 1' there), so _fits turned away all but one in hand; room may only double it. Now the link is estimated from what the location's clients ask for (Little's law: rate times mean work, faded over the counts' half-life, each director for its own part); caches, parents and cold budgets follow from it as from a told link. Told sizes are used as before.

--- a/onyxwick/interface.py
+++ b/onyxwick/interface.py
@@ -64,6 +64,11 @@
     NOT_SENT = "not_sent"
     MISS = "miss"
 
+    @property
+    def proves_unrun(self) -> bool:
+        """Does an attempt that ended so prove that nothing ran?"""
+        return self in (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT, Status.MISS)
+
 
 class Detail(Enum):
     """What an answer tells of how it came about."""
--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -149,31 +149,29 @@
         self.caches: list[Peer] = []
         self.boxes = 1  # most caches that this location had
         self.link = 0.0  # its link in transfers, if to be used
+        self.asked, self.asked_at = 0.0, now  # transfers at once that its clients ask for, as of then
         self.others: dict[str, list[Peer]] = {}  # caches of other locations
         self.parents: list[Peer] = []
         self.origin: Peer | None = None
         self.jobs: dict[str, Job] = {}
         self.out: list[i.Action] = []
         self.due: list[tuple[int, int, str, int]] = []  # (time, sequence, request or "", attempt)
-        self.sequence = 0
-        self.wake = -1
+        self.sequence, self.wake = 0, -1
         self.counts: dict[str, tuple[float, int]] = {}  # object: (count, at)
         self.gold_cut, self.bronze_cut = math.inf, 1.0
         self.shift = 0.0  # T2's distance from 'seen once', as a share of the table
         self.hits: dict[str, dict[str, int]] = {}  # cache: object: last hit
-        self.answers = [0, 0]  # hits and all since the last step
-        self.hit_share, self.fill_level = 0.0, 0.0
+        self.answers, self.hit_share, self.fill_level = [0, 0], 0.0, 0.0  # hits and all since the last step
         self.fill = Learned(0.2 * S)
         self.work = {c.name: Learned(c.aim_us / 2) for c in settings.classes}
         self.latency = {c.name: Learned(c.aim_us) for c in settings.classes}
         self.marks: dict[tuple[int | None, str | None], int] = {}  # purge marks: time of the purge
         self.burst = max(4.0, RETRY_BURST / settings.routers)
         self.retries = self.burst
-        self.turn = 0
+        self.turn, self.unsubscribed = 0, False
         self.part = 1.0  # of this director's share of the parents, which other routers of it may share
         self.own = self.own_cold = self.part_cold = self.part_origin = 1.0  # of other members, and cold ones
         self.reserve = 1.0  # of what may be spent beyond one attempt a request
-        self.unsubscribed = False
         self._at(now + int(STEP_US * self.random.random()), "", 0)  # routers do not step together
         if settings.subscribe:
             self.out.append(i.Subscribe())
@@ -331,8 +329,9 @@
     def _size(self, peer: Peer) -> float:
         """A member's link in transfers at full pace: as listed or, where weights are off, as the links tell.
 
-        A link into a location is sized by what its caches draw and a parent by so many such links. Could hurt
-        where caches are very unequal: `room` then learns each one's share.
+        A link into a location is sized by what its caches draw and a parent by so many such links; an untold
+        one by what the location's clients ask for, of which each router knows its own part. Could hurt where
+        caches are very unequal: `room` then learns each one's share.
         """
         if not self.link:
             return peer.info.weight if peer.info.weight > 0 else 1.0
@@ -415,9 +414,8 @@
                 return True  # few, worth most, and with nowhere else to go
             routers = self.set.routers_in_zone  # its size is not told: a part as large as of all own caches
             limit = LOAD_SHARE * stretch * max(1.0, sum(self._size(p) for p in self.caches)) / routers
-        # One router's part may be under one transfer; in calm it is uneven by chance, so a deviation
-        # comes on top, lent only while this router's own mean use is under half its part: when all are
-        # over theirs at once, forty deviations would double what the member is asked for.
+        # One router's part may be under one transfer, and is uneven by chance: a deviation comes on top, lent
+        # only while its own mean use is under half its part, as forty at once would double what is asked for.
         # Late answers shrink both: what is slow holds its place, so the limit clocks itself.
         peer.busy += (1 - math.exp((peer.busy_at - self.now) / BUSY_US)) * (len(peer.pending) - peer.busy)
         peer.busy_at = self.now
@@ -519,6 +517,11 @@
             return
         if ask.size_kb and self.set.pace_kb_per_s:
             self.work[kind.name].add(ask.size_kb / self.set.pace_kb_per_s * S)
+        if self.set.weights == "off" and not self.set.link_kb_per_s and not kind.write:  # Little's law
+            self.asked *= math.exp((self.asked_at - self.now) / HALF_LIFE_US)
+            self.asked, self.asked_at = self.asked + self.work[kind.name].mean / HALF_LIFE_US, self.now
+            seen = max(0.01, 1 - math.exp((self.born - self.now) / HALF_LIFE_US))
+            self.link = DRAWN * self.asked / seen * self.set.routers_in_zone
         job = Job(ask, kind, self.now + ask.expires_in_us, self._rank(ask, kind))
         self.jobs[ask.request] = job
         self.retries = min(self.burst, self.retries + RETRY_SHARE * self.reserve)
@@ -618,8 +621,7 @@
             if p is not None:
                 p.pending.pop(key, None)
                 p.ended_at, p.lasted = self.now, event.latency_us
-        proof = event.status in (i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.NOT_SENT, i.Status.MISS)
-        if not proof and job.maybe_ran is None:
+        if not event.status.proves_unrun and job.maybe_ran is None:
             job.maybe_ran = flight
         self._learn(job, flight, event)
         if event.final or job.over:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,8 +4,10 @@
 
 from dataclasses import replace
 
+import pytest
+
 from onyxwick import interface as i
-from tests.world import CACHES, ORIGIN, PARENTS, SETTINGS, S, World, fetched, finals, member, sent
+from tests.world import ALL, CACHES, ORIGIN, PARENTS, SETTINGS, S, World, fetched, finals, member, sent
 
 
 def test_timeout_behind_a_slow_fill_is_not_silence() -> None:
@@ -251,3 +253,30 @@
         w.end(i.Status.ERROR, member=get.member)
     assert all(w.router.peers[p.address].room >= 1.0 for p in (*PARENTS, ORIGIN))
     assert not any(w.router.peers[p.address].ejected for p in PARENTS)
+
+
+@pytest.mark.parametrize("routers", [12, 40])
+def test_where_no_size_is_told_the_clients_of_a_location_tell_it(routers: int) -> None:
+    """Neither weights nor links told: all answers in time, and half of the calls refused (red-sucursales)."""
+    unsized = replace(SETTINGS, weights="off", routers=routers, routers_in_zone=routers)
+    w = World(unsized, members=tuple(replace(m, weight=1.0) for m in ALL))
+    out, refused, per_s = list[tuple[int, str, str]](), 0, 8
+    for n in range(40 * per_s):
+        w.pass_time(S // per_s)
+        for due, request, at in [row for row in out if row[0] <= w.now]:
+            out.remove((due, request, at))
+            w.end(i.Status.OK, request, member=at, latency=400_000, detail=i.Detail.HIT)
+        asked = w.ask(name=f"o{n % 50}", part=n % 7)
+        refused += len(finals(asked))
+        out += [(w.now + 400_000, f"r{w.asked}", a.member) for a in sent(asked)]
+    assert refused <= 0.03 * w.asked
+
+
+def test_a_told_size_is_not_guessed_from_what_clients_ask() -> None:
+    told = replace(SETTINGS, weights="off", link_kb_per_s=56_000.0, pace_kb_per_s=6_900.0)
+    for settings in (told, SETTINGS):
+        w = World(settings)
+        before = w.router._size(w.router.caches[0])
+        for n in range(30):
+            w.ask(name=f"o{n}")
+        assert w.router._size(w.router.caches[0]) == before
