--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -32,6 +32,7 @@
     repeat: bool = False
     body: bytes = b""
     held_tag: str = ""  # tag of the copy that the client holds
+    key: str = ""  # by which a cache knows a repeat of what it has already done; passed on unchanged
     tenant: str | None = None
     site: str | None = None  # of the client
 
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -82,6 +82,8 @@
         out["hints"] = _hints(order.flags)
     if request.held_tag:
         out["got"] = request.held_tag
+    if request.key:
+        out["i"] = request.key
     fields = ",".join([f"{name}={value}" for name, value in out.items()])
     return resp.command(b"REQ", request.id.encode(), fields.encode(), request.body)
 
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -106,8 +106,9 @@
     if kind is None:
         raise ValueError("unknown class")  # no cache could use it
     held, again = params.get(b"HTTP_X_GOT", b"").strip(b'"'), params.get(b"HTTP_X_RETRY", b"0")
-    if not _PLAIN(held) or again not in (b"0", b"1"):
-        raise ValueError("bad X_GOT or X_RETRY")
+    key = params.get(b"HTTP_IDEMPOTENCY_KEY", b"")
+    if not _PLAIN(held) or not _PLAIN(key) or again not in (b"0", b"1"):
+        raise ValueError("bad X_GOT, IDEMPOTENCY_KEY or X_RETRY")
     if body and not kind.write:
         raise ValueError("body of a request that writes nothing")
     return Request(
@@ -121,6 +122,7 @@
         repeat=again == b"1",
         body=body,
         held_tag=held.decode("latin-1"),
+        key=key.decode("latin-1"),
         tenant=_named(params, whose.tenant, "tenant"),
         site=_named(params, whose.site, "site"),
     )
--- /dev/null
+++ b/tests/ground.py
@@ -0,0 +1,189 @@
+"""The shared ground of the tests of endings: a director's core, front and links in this process.
+
+Sockets are real, a script stands in the module's place, so that a crossing is forced and not hoped for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+
+import uvloop
+
+from onyxwick import interface as i
+from onyxwick.core import Answer, Core, Life, Request
+from onyxwick.core.engine import unix_us
+from onyxwick.core.members import Members
+from onyxwick.counters import Counters
+from onyxwick.net import fastcgi
+from onyxwick.net.caches import Caches
+from onyxwick.net.front import Front, listen
+from tests.world import SETTINGS, member
+
+PATIENCE_S = 10.0
+FOUND = b"digest=4be0c1927d55a6f3,note=HIT"
+
+
+class Script:
+    """In the module's place: it does what is said for arrivals and ends, and keeps all events."""
+
+    def __init__(self) -> None:
+        self.events: list[i.Event] = []
+        self.arrived: Callable[[str], list[i.Action]] = lambda request: []
+        self.ended: Callable[[str, i.Status], list[i.Action]] = lambda request, status: []
+
+    def handle(self, now: int, events: list[i.Event]) -> list[i.Action]:
+        out = list[i.Action]()
+        for event in events:
+            self.events.append(event)
+            match event:
+                case i.RequestArrived(request=request):
+                    out += self.arrived(request)
+                case i.AttemptEnded(request=request, status=status):
+                    out += self.ended(request, status)
+                case _:
+                    pass
+        return out
+
+    def ejected(self) -> int:
+        return 0
+
+    def ends(self) -> list[i.Status]:
+        return [event.status for event in self.events if isinstance(event, i.AttemptEnded)]
+
+
+def ask(request: str, *members: str) -> list[i.Action]:
+    return [i.Fetch(request, name, name, 0, 0, 0, i.FillFlag.NONE) for name in members]
+
+
+class Ground:
+    """One director without a process; `cache` makes a member whose socket the test holds."""
+
+    def __init__(self, settings: i.Settings = SETTINGS, connect_us: int = 5_000_000) -> None:
+        self.script, self.members, self.counters = Script(), Members(), Counters()
+        self.caches = Caches(self.members, self.counters, connect_us)
+        self.core = Core(settings, 7, self.caches, self.members, self.counters, decide=lambda *_: self.script)
+        self.front = Front(self.core, self.counters, lambda: True, 64, 10_000_000)
+        self.answers: list[Answer] = []
+        self.opened = list[socket.socket]()
+        self.tasks = list[asyncio.Task[None]]()
+        self.asked = 0
+
+    def cache(self, name: str, backlog: int = 64) -> socket.socket:
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(backlog)
+        sock.setblocking(False)
+        self.opened.append(sock)
+        self.list(i.State.READY, name, sock.getsockname())
+        return sock
+
+    def list(self, state: i.State, name: str, address: tuple[str, int]) -> None:
+        told = i.Member(name, "edge-1", "box", 0, state, 6.0, 0)
+        self.core.list_changed(i.MembersChanged(i.ListKind.CHANGE, (told,)), {name: address})
+
+    def held(self, name: str) -> Iterator[Callable[[], Awaitable[socket.socket]]]:
+        """A member to which no connection comes up until the value is awaited, which gives the next one."""
+        sock = self.cache(name, backlog=0)
+        filler = socket.create_connection(sock.getsockname())
+        self.opened.append(filler)
+
+        async def let_up() -> socket.socket:
+            (await self.accepted(sock)).close()
+            return await self.accepted(sock)
+
+        yield let_up
+
+    async def accepted(self, sock: socket.socket) -> socket.socket:
+        async with asyncio.timeout(PATIENCE_S):
+            conn, _ = await asyncio.get_running_loop().sock_accept(sock)
+        self.opened.append(conn)
+        return conn
+
+    def request(self, kind: str = "chunk", **more: object) -> Request:
+        self.asked += 1
+        fields = {"id": f"{self.asked:016x}", "class_name": kind, "object": "7f3a9c21e0b4d655", "part": 0}
+        told = {"group": 17, "arrived_us": unix_us(), "timeout_us": 9_000_000}
+        return Request(**{**fields, **told, **more})  # type: ignore[arg-type]
+
+    def start(self, kind: str = "chunk", **more: object) -> Life:
+        life = self.core.start(self.request(kind, **more), self.answers.append)
+        assert life is not None
+        return life
+
+    async def until(self, true: Callable[[], object], what: str = "") -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while not true():
+                await asyncio.sleep(0.005)
+        assert true(), what
+
+    async def read(self, conn: socket.socket, mark: bytes) -> bytes:
+        got, loop = b"", asyncio.get_running_loop()
+        async with asyncio.timeout(PATIENCE_S):
+            while mark not in got:
+                more = await loop.sock_recv(conn, 65_536)
+                assert more, got
+                got += more
+        return got
+
+    async def client(self) -> socket.socket:
+        """A client of the front, which accepts from now on."""
+        loop = asyncio.get_running_loop()
+        if not self.tasks:
+            self.door = listen(("127.0.0.1", 0))
+            self.opened.append(self.door)
+            self.tasks.append(loop.create_task(self.front.accept(self.door)))
+        sock = socket.create_connection(self.door.getsockname())
+        sock.setblocking(False)
+        self.opened.append(sock)
+        return sock
+
+    async def close(self) -> None:
+        for task in (*self.tasks, *self.front.clients.values()):
+            task.cancel()
+        await asyncio.gather(*self.tasks, *self.front.clients.values(), return_exceptions=True)
+        await self.caches.close()
+        for sock in self.opened:
+            sock.close()
+
+
+def played(play: Callable[[Ground], Awaitable[None]], settings: i.Settings = SETTINGS) -> None:
+    async def run() -> None:
+        ground = Ground(settings)
+        try:
+            await play(ground)
+        finally:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PATIENCE_S):
+                    await ground.close()
+
+    uvloop.run(run())
+
+
+def call(
+    number: int,
+    request: str = "",
+    path: str = "/call/chunk",
+    keep: bool = True,
+    more: dict[str, str] | None = None,
+) -> bytes:
+    """A client's whole call; `more`: further parameters."""
+    pairs = {
+        "SCRIPT_NAME": path,
+        "HTTP_X_REQUEST_ID": request or f"{number:016x}",
+        "HTTP_X_TIMEOUT_MS": "9000",
+        "HTTP_X_OBJECT": "7f3a9c21e0b4d655",
+        "HTTP_X_NTH": "0",
+        "HTTP_X_BATCH": "17",
+        **(more or {}),
+    }
+    begin = fastcgi.BEGIN_BODY.pack(fastcgi.RESPONDER, int(keep))
+    params = fastcgi.write_pairs({name.encode(): value.encode() for name, value in pairs.items()})
+    kind = fastcgi.Type
+    records = ((kind.BEGIN, begin), (kind.PARAMS, params), (kind.PARAMS, b""), (kind.STDIN, b""))
+    return b"".join(fastcgi.record(k, number, content) for k, content in records)
+
+
+__all__ = ["FOUND", "PATIENCE_S", "Ground", "ask", "call", "member", "played"]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,6 +11,7 @@
 from onyxwick.net import fastcgi
 from onyxwick.net.caches import Caches
 from onyxwick.net.front import Client, Front
+from tests.ground import Ground, ask, call, played
 from tests.world import SETTINGS
 
 
@@ -88,6 +89,24 @@
     assert caches._most_each() == 8 and Caches(members, counters, 0, most_links=256)._most_each() == 8
 
 
+def test_the_key_of_a_call_goes_on_to_the_cache_and_a_bad_one_is_refused() -> None:
+    """A cache knows by it a repeat of what it has done; without it a request is not the client's any more."""
+
+    async def play(ground: Ground) -> None:
+        cache = ground.cache("c0")
+        ground.script.arrived = lambda request: ask(request, "c0")
+        sock = await ground.client()
+        good = {"HTTP_X_TIMEOUT_MS": "3000", "HTTP_IDEMPOTENCY_KEY": "695b5a21afb805f3"}
+        sock.send(call(1, path="/call/hold", more=good))
+        got = await ground.read(await ground.accepted(cache), b"$0\r\n\r\n")
+        assert b",i=695b5a21afb805f3" in got
+        sock.send(call(2, path="/call/hold", more={**good, "HTTP_IDEMPOTENCY_KEY": "a,k=b"}))
+        await ground.read(sock, b"400 Bad Request")
+        assert ground.counters.counts["bad.client"] == 1
+
+    played(play)
+
+
 def test_the_feed_is_called_again_after_waits_drawn_below_a_bound_that_doubles() -> None:
     from onyxwick.net.coordinator import AGAIN_MOST_US, AGAIN_US, Coordinator
 
