One guard at the moment of an attempt's send: wanted, repeatable, its way open

Need: an attempt may wait for a connection (0.4 s), a durable intent or room in a socket after it was decided. Only drains and purges were looked at again then. 'unchanged' under another tag than the client's was served as current. An answer that drips without end kept its link in use, with all attempts behind it. To blame: Members.still_good alone as Order.still_good; Outbox.run, which wrote a batch by one sendall; Link._answered, which asked only whether a tag was held; Link.give_up, which takes any byte for life. Changed: Core.may_send; the outbox writes by send, and what no byte is out of waits and is checked again; tags are compared; a link whose answer began over 0.6 s before an attempt ran out of time takes nothing new.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -78,7 +78,10 @@
     request: Request
     mailbox: Mailbox = field(default_factory=Mailbox)
     attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
-    gone: bool = False
+    # When each attempt was ordered, in Unix us; 0: it is proved that it never ran.
+    ordered: list[int] = field(default_factory=list)
+    gone: bool = False  # its client has left
+    over: bool = False  # it has its final answer
     intended: bool = False  # that it will be sent is durable
     transport: Transport | None = None  # a front's own way of carrying out attempts
 
@@ -111,6 +114,7 @@
         self.lives: dict[str, Life] = {}
         self.idle = asyncio.Event()
         self.idle.set()
+        self.kinds = {c.name: c for c in settings.classes}
         self.writes = {c.name for c in settings.classes if c.write}
         self.once = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
         self.router = decide(settings, seed, self.now())
@@ -251,6 +255,7 @@
                 log.exception("error in a request", request=request.id)
                 answer = Answer(Verdict.FAILED)
                 self._forget(request.id)
+            life.over = True
             if answer is not None and not life.gone:
                 self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
                 reply(answer)
@@ -334,6 +339,7 @@
             match mail := await life.mailbox.get():
                 case i.Attempt() | i.Fetch():
                     life.attempts.append(None)
+                    life.ordered.append(0)
                     number = len(life.attempts) - 1
                     self._report(life, Ended(mail.member, number, Outcome(i.Status.NOT_SENT), 0))
                 case i.Cancel(_, number):
@@ -360,19 +366,41 @@
     # ---- attempts ---------------------------------------------------------------------------------------
 
     def _start(self, life: Life, action: i.Attempt | i.Fetch) -> None:
-        order, number, begun = self._order(life.request, action), len(life.attempts), self.now()
+        number, begun = len(life.attempts), self.now()
+        order = self._order(life, action, number)
+        life.ordered.append(begun)
         task = asyncio.get_running_loop().create_task((life.transport or self.transport).run(order))
         life.attempts.append(task)
         self.counters.add("attempt.sent")
         # Not an await around `run`: a task cancelled before its first step would leave no outcome.
         task.add_done_callback(partial(self._ended, life, order, number, begun))
 
-    def _order(self, request: Request, action: i.Attempt | i.Fetch) -> Order:
+    def may_send(self, life: Life, number: int, member: str, source: str | None, decided: int) -> bool:
+        """The one guard at the moment of an attempt's send, however long it waited for a connection, a
+        durable intent or room in a socket: is it still wanted, may it be a repeat, is its way still open?"""
+        if life.gone or life.over or not self.may_repeat(life, number):
+            return False
+        return self.members.still_good(member, source, life.request, decided)
+
+    def may_repeat(self, life: Life, number: int) -> bool:
+        """May an attempt go out beside or after the earlier ones of its request that may have run?"""
+        kind = self.kinds.get(life.request.class_name)
+        if kind is None or kind.repeat is i.Repeat.SAFE:
+            return True
+        ran = [at for at in life.ordered[:number] if at]
+        if not ran:
+            return True
+        # A repeat by key is safe for a while after the first send; it must have arrived whole by then.
+        margin = 2 * self.settings.tick_us
+        return kind.repeat is i.Repeat.KEYED and self.now() - min(ran) < kind.window_us - margin
+
+    def _order(self, life: Life, action: i.Attempt | i.Fetch, number: int) -> Order:
+        request = life.request
         decided, left = self.now(), request.arrived_us + request.timeout_us - self.now()
         timeout = min(left, action.timeout_us) if action.timeout_us else left
         alone = request.class_name in self.once
         if isinstance(action, i.Attempt):
-            good = partial(self.members.still_good, action.member, None, request, decided)
+            good = partial(self.may_send, life, number, action.member, None, decided)
             return Order(request, action.member, timeout, alone=alone, still_good=good)
         source = None if action.source == action.member else action.source
         return Order(
@@ -384,7 +412,7 @@
             action.max_age_us,
             action.flags,
             alone,
-            partial(self.members.still_good, action.member, source, request, decided),
+            partial(self.may_send, life, number, action.member, source, decided),
         )
 
     def _cancel(self, life: Life, number: int) -> None:
@@ -401,6 +429,8 @@
             outcome = Outcome(i.Status.ERROR)
         else:
             outcome = task.result()
+        if outcome.status.proves_unrun:
+            life.ordered[number] = 0
         life.mailbox.put(Ended(order.member, number, outcome, self.now() - begun, order.sent_us))
 
     def _report(self, life: Life, ended: Ended) -> None:
--- a/onyxwick/net/buffer.py
+++ b/onyxwick/net/buffer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import select
 import socket
 import sys
 import termios
@@ -13,10 +14,47 @@
 
 
 def unread(sock: socket.socket) -> int:
-    """Bytes that have come and wait in the socket."""
+    """Bytes that have come and wait in the socket; none where it is closed already."""
+    if sock.fileno() < 0:
+        return 0
     return int.from_bytes(fcntl.ioctl(sock, termios.FIONREAD, bytes(4)), sys.byteorder)
 
 
+def ended(sock: socket.socket) -> bool:
+    """Has the other side written its end, or is the connection gone? Told though bytes before it are unread,
+    which no read from the socket could tell."""
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+async def readable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+    """Wait until there is something to take, and take nothing: a cancel can lose nothing."""
+    come: asyncio.Future[None] = loop.create_future()
+    loop.add_reader(sock.fileno(), _come, come)
+    try:
+        await come
+    finally:
+        loop.remove_reader(sock.fileno())
+
+
+async def writable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+    """Wait until the socket takes bytes, and write none."""
+    come: asyncio.Future[None] = loop.create_future()
+    loop.add_writer(sock.fileno(), _come, come)
+    try:
+        await come
+    finally:
+        loop.remove_writer(sock.fileno())
+
+
+def _come(future: asyncio.Future[None]) -> None:
+    if not future.done():
+        future.set_result(None)
+
+
 class Buffer:
     """Bytes received and not yet parsed; grows as needed and is compacted in place.
 
@@ -64,6 +102,20 @@
         self.end += got
         return got > 0
 
+    async def receive_late(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> bool:
+        """The same, but the bytes stay in the socket until the caller has them: between a read by the loop
+        and the reader's turn `unread` would not tell of them, and a connection would seem to owe nothing."""
+        self._make_room(self.room)
+        while True:
+            await readable(loop, sock)
+            with memoryview(self.data) as whole, whole[self.end :] as room:
+                try:
+                    got = sock.recv_into(room)
+                except BlockingIOError:
+                    continue
+            self.end += got
+            return got > 0
+
     def _make_room(self, size: int) -> None:
         if self.start == self.end:
             self.start = self.end = 0
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -121,7 +121,7 @@
     parcel: Parcel
     result: asyncio.Future[Outcome]
     sent_at: float
-    tagged: bool  # the client's copy was named: `unchanged` may be the answer
+    tag: str  # of the client's copy, where it was named: `unchanged` with that tag may be the answer
     alone: bool  # must not run twice: another's spoilt answer shall not take it along
 
     def settle(self, outcome: Outcome) -> None:
@@ -144,10 +144,12 @@
             0,
             0.0,
         )  # of an answer that has begun: what waits in the socket, and since when
+        self.half_since = 0.0  # when the answer that has come in part began, or 0
         self.up = self.retired = self.closed = False
         self.heard_at = self.used_at = time.monotonic()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.outbox = Outbox(self.sock, caches.tally)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -164,7 +166,7 @@
     def call(self, order: Order) -> Call:
         request_id, now = order.request.id.encode(), time.monotonic()
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
-        call = Call(request_id, Parcel(b""), future, now, bool(order.request.held_tag), order.alone)
+        call = Call(request_id, Parcel(b""), future, now, order.request.held_tag, order.alone)
         call.parcel = Parcel(request_bytes(order), order.still_good, lambda: self._dropped(call))
         self.calls[request_id] = call
         self.used_at = now
@@ -177,6 +179,8 @@
 
     def expire(self, call: Call) -> None:
         if not call.result.done():
+            if self.half_since and time.monotonic() - self.half_since > STUCK_S:
+                self.retired = True  # an answer that comes without end holds up all behind it
             call.settle(Outcome(self.give_up(call)))
 
     def give_up(self, call: Call) -> i.Status:
@@ -197,7 +201,6 @@
         try:
             async with asyncio.timeout(self.caches.connect_s):
                 await asyncio.get_running_loop().sock_connect(self.sock, self.address)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.up, failed = True, i.Status.RESET
             await self._talk()
         except (OSError, TimeoutError):
@@ -226,7 +229,10 @@
             self.heard_at = self.moved_at = time.monotonic()
             self.unread = 0
             for words in parser.messages():
+                self.half_since = 0.0
                 self._answered(words)
+            if len(parser.buffer):
+                self.half_since = self.half_since or self.heard_at
             # A body comes slowly, in many pieces: one wake-up for what is missing, not one a piece.
             missing = max(1, min(parser.need - len(parser.buffer), WAKE_MOST))
             if missing != mark:
@@ -254,8 +260,13 @@
         self.recent[words[0]] = None
         if len(self.recent) > RECENT:
             del self.recent[next(iter(self.recent))]
-        if outcome.unchanged and not call.tagged:
+        if outcome.unchanged and not call.tag:
             raise resp.RespError("'unchanged' to a request that held no copy")
+        if outcome.unchanged and outcome.tag != call.tag:
+            # Of some other copy: it says nothing of the one that the client holds.
+            self.caches.counters.add("bad.tag")
+            log.warning("'unchanged' under another tag", member=self.member)
+            outcome = Outcome(i.Status.ERROR)
         call.settle(outcome)
 
     def _close(self, failed: i.Status) -> None:
--- a/onyxwick/net/outbox.py
+++ b/onyxwick/net/outbox.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from enum import Enum
 
+from onyxwick.net.buffer import writable
+
 
 class Progress(Enum):
     WAITING = "waiting"
@@ -94,21 +96,38 @@
         loop = asyncio.get_running_loop()
         while True:
             if not self.queue:
+                self.writing_since = 0.0
                 self.more = loop.create_future()
                 await self.more
-            batch = self.batch = self._batch()
-            data = batch[0].data if len(batch) == 1 else b"".join([parcel.data for parcel in batch])
-            for at in range(0, len(data), self.SLICE):
-                self.writing_since = time.monotonic()
-                await loop.sock_sendall(self.sock, data[at : at + self.SLICE])
-            self.writing_since = 0.0
-            for parcel in batch:
-                self._finish(parcel, Progress.WRITTEN)
-            self.batch = []
-
-    def _batch(self) -> list[Parcel]:
+            self._batch()
+            if not self.batch:
+                continue
+            data = self.batch[0].data if len(self.batch) == 1 else b"".join([p.data for p in self.batch])
+            try:
+                written = self.sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                written = 0
+            if written:
+                self.writing_since = 0.0
+            if written == len(data):
+                self._written()
+            elif rest := self._cut(written):
+                await self._write(loop, rest)
+            else:  # a socket that takes nothing: what waits is asked for anew once it does
+                self.writing_since = self.writing_since or time.monotonic()
+                await writable(loop, self.sock)
+
+    async def _write(self, loop: asyncio.AbstractEventLoop, rest: bytes) -> None:
+        """The end of what has begun: it goes out whole, or the connection ends."""
+        for at in range(0, len(rest), self.SLICE):
+            self.writing_since = time.monotonic()
+            await loop.sock_sendall(self.sock, rest[at : at + self.SLICE])
+        self.writing_since = 0.0
+        self._written()
+
+    def _batch(self) -> None:
         """The parcels that go out now, each one checked at this moment."""
-        batch, size, now = list[Parcel](), 0, time.monotonic()
+        self.batch, size, now = [], 0, time.monotonic()
         while self.queue and size < self.SLICE:
             parcel = self.queue.popleft()
             if parcel.check is not None and not parcel.check():
@@ -118,8 +137,31 @@
                 continue
             parcel.progress, parcel.begun_at = Progress.BEGUN, now
             size += len(parcel.data)
-            batch.append(parcel)
-        return batch
+            self.batch.append(parcel)
+
+    def _cut(self, written: int) -> bytes:
+        """Of a batch that went out only so far: what of a parcel is still to come. A parcel of which no byte
+        went out waits again and is checked again, as a drain may be told before the socket takes more."""
+        batch, self.batch, rest = self.batch, [], b""
+        back = list[Parcel]()
+        for parcel in batch:
+            size = len(parcel.data)
+            if written >= size:
+                self._finish(parcel, Progress.WRITTEN)
+            elif written > 0:
+                rest = parcel.data[written:]
+                self.batch.append(parcel)
+            else:
+                parcel.progress, parcel.begun_at = Progress.WAITING, 0.0
+                back.append(parcel)
+            written = max(0, written - size)
+        self.queue.extendleft(reversed(back))
+        return rest
+
+    def _written(self) -> None:
+        batch, self.batch = self.batch, []
+        for parcel in batch:
+            self._finish(parcel, Progress.WRITTEN)
 
     def _finish(self, parcel: Parcel, progress: Progress) -> None:
         parcel.progress = progress
