--- a/onyxwick/__main__.py
+++ b/onyxwick/__main__.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 
 def main() -> int:
     if len(sys.argv) == 1 or sys.argv[1:] == ["run"]:
+        # The imports take a while, and a signal to reload that nobody hears ends a process.
+        early: list[int] = []
+        signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
         from onyxwick.lifecycle import main as run
 
-        return run()
+        return run(early)
     from onyxwick.cli import main as command
 
     return command()
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable, Coroutine, Sequence
 from enum import Enum
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -43,6 +44,7 @@
 GC_ALL_S = 10.0  # between full collections: ended connections leave cycles, which must not add up over a day
 
 
+AGAIN_S = 0.1  # before a task of the whole director goes on after an error in it
 FIGURES_S = 0.5  # between two takings of the figures that the operators' door shows
 FINISH_S = 1.5  # after SIGTERM and the door's close: how long connections still in use are left to come free
 
@@ -96,6 +98,7 @@
         )
         routers = config.settings.routers
         self.coordinator = Coordinator(self.core, self.counters, config.seed ^ FEED_DRAW, routers)
+        self.coordinator.move(config.coordinator)  # a reload while starting moves it on
         if service is not None:
             service.attach(self.core, self.members, self.counters)
             service.pace(self.coordinator, self.caches)
@@ -189,6 +192,11 @@
         `handed`: the listening socket that the platform holds; else the program binds `listen` itself.
         """
         self._signals()
+        if self.early:
+            self.reload()
+        if self.leaving.is_set() and self.service is None:  # told to end before a client could come
+            self._enter(State.DRAINING)
+            return self._enter(State.STOPPED)
         self.handed = handed is not None
         opened: contextlib.AbstractContextManager[socket.socket] = (
             front.listen(self.config.listen) if handed is None else contextlib.nullcontext(handed)
@@ -199,16 +207,16 @@
                 side += self.service.start(self.health)
             self.coordinator.known(self.config.known)
             side += [
-                loop.create_task(self.coordinator.follow(self.config.coordinator)),
-                loop.create_task(self.caches.sweep()),
-                loop.create_task(self.front.sweep()),
-                loop.create_task(self._collect()),
+                loop.create_task(self.coordinator.follow()),
+                self._keep("sweep.caches", self.caches.sweep),
+                self._keep("sweep.front", self.front.sweep),
+                self._keep("collect", self._collect),
             ]
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
             gc.collect()  # else what imports have left would be kept for good
             gc.freeze()  # what lives from the start need not be looked through again
             door = self._open_door(loop, side)
-            accepting = loop.create_task(self.front.accept(sock))
+            accepting = self._keep("accept", lambda: self.front.accept(sock))
             drained = self.bridge is not None and self.bridge.orders.drained
             self._enter(State.DRAINED if drained else State.SERVING)
             self.front.close(drained)
@@ -241,12 +249,26 @@
         bridge.loop = loop
         door = Door(bound, address, bridge, bridge.orders, bridge.known, bridge.lasting, unix_us)
         door.start()
-        side.append(loop.create_task(self._publish(bridge)))
+        side.append(self._keep("publish", lambda: self._publish(bridge)))
         self.door_counters = door.counters
         return door
 
     door_counters: Counters | None = None
 
+    def _keep(self, name: str, work: Callable[[], Coroutine[None, None, None]]) -> asyncio.Task[None]:
+        """A task of the whole director: an error in it is told, and it goes on."""
+
+        async def on() -> None:
+            while True:
+                try:
+                    return await work()
+                except Exception:
+                    self.counters.add(f"error.{name}")
+                    log.exception("error in a task of the director", task=name)
+                    await asyncio.sleep(AGAIN_S)
+
+        return asyncio.get_running_loop().create_task(on())
+
     async def _publish(self, bridge: Bridge) -> None:
         while True:
             bridge.publish()
@@ -262,6 +284,7 @@
         ready = sum(self.members.ready(member) for member in listed)
         return {"state": self.state.value, "ready": self.is_ready(), "members": len(listed), "up": ready}
 
+    early: Sequence[int] = ()  # signals to reload that came while the program started
     handed = False  # the listening socket is the platform's: a successor accepts on it already
 
     async def _drain(self, accepting: asyncio.Task[None], sock: socket.socket) -> None:
@@ -275,6 +298,7 @@
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
         if not self.handed:
+            self.front.accept_rest(sock)
             sock.close()
         await self.front.finish(FINISH_S, passing_on=self.handed)
 
@@ -298,9 +322,9 @@
     return load(path)
 
 
-def main() -> int:
+def main(early: Sequence[int] = ()) -> int:
     """One director in the foreground, told by RELAY_CONFIG, RELAY_LISTEN, RELAY_NAME and RELAY_LISTEN_FD;
-    its exit code."""
+    its exit code. `early` grows by each signal to reload until the director hears them itself."""
     logs.set_up()
     try:
         told, service = relay.load(), read_service()
@@ -309,7 +333,7 @@
         print(f"onyxwick: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(_run(told, service, handed))
+        uvloop.run(_run(told, service, handed, early))
     except Unusable as error:
         print(f"onyxwick: {error}", file=sys.stderr)
         return 2
@@ -320,13 +344,17 @@
     """What the program starts from cannot be used; the text says why."""
 
 
-async def _run(told: Config, service: ServiceConfig | None, handed: socket.socket | None) -> None:
+async def _run(
+    told: Config, service: ServiceConfig | None, handed: socket.socket | None, early: Sequence[int]
+) -> None:
     if service is None or service.store is None:
-        return await Director(told, service).run(handed)
-    from onyxwick.store.errors import StoreError
-
-    try:
         director = Director(told, service)
-    except StoreError as error:
-        raise Unusable(f"the store in {service.store.folder.name} is not opened: {error}") from None
+    else:
+        from onyxwick.store.errors import StoreError
+
+        try:
+            director = Director(told, service)
+        except StoreError as error:
+            raise Unusable(f"the store in {service.store.folder.name} is not opened: {error}") from None
+    director.early = early
     return await director.run(handed)
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -117,12 +117,11 @@
         """The feed is at another address from now on; its numbers go on from the last one had."""
         if address != self.address:
             self.address = address
-            if self.limit is not None:
+            if self.limit is not None and not self.limit.expired():  # one that is up goes anyway
                 self.limit.reschedule(asyncio.get_running_loop().time())
 
-    async def follow(self, address: tuple[str, int]) -> None:
-        """Keep a connection to the feed until cancelled."""
-        self.address = address
+    async def follow(self) -> None:
+        """Keep a connection to the feed until cancelled, wherever `move` has last said that it is."""
         await asyncio.sleep(self.first_us / 1e6)
         while True:
             try:
@@ -142,6 +141,7 @@
         self.announced = 0
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(CONNECT_S) as self.limit:
                 await loop.sock_connect(sock, self.address)
                 await loop.sock_sendall(sock, b"follow %d\n" % self.last)
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -7,7 +7,7 @@
 import re
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -17,7 +17,7 @@
 from onyxwick.core import Answer, Core, Life, Request, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi, room
-from onyxwick.net.buffer import unread
+from onyxwick.net.buffer import ended, readable, unread
 from onyxwick.net.outbox import Outbox, Parcel, Tally
 
 if TYPE_CHECKING:
@@ -38,7 +38,10 @@
 READ_S = 0.01
 SHUT_SHARE = 16  # one in so many client places may be held by a connection whose end is written already
 PASSED_ON_US = 100_000  # a new call while the connection is to end: the client is told to come back so soon
+LOOK_S = 0.05  # between two looks whether a client that is not read from has gone
 SWEEP_S = 0.25
+BACKLOG = 1024  # connections that wait to be accepted
+ACCEPT_TURN = 32  # accepted in one turn of the loop
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed, for want of descriptors as a rule
 STATUS = {
@@ -52,7 +55,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(address)
-    sock.listen(1024)
+    sock.listen(BACKLOG)
     sock.setblocking(False)
     return sock
 
@@ -169,6 +172,7 @@
         self.open: dict[int, Life | None] = {}  # by FastCGI number
         self.cell: str | None = None  # whose part of the places it takes, where there are cells
         self.ending = False  # to be closed when all that is open on it is answered
+        self.deaf = False  # its records can't be told apart, or come without end: it is heard no more
         self.shut_at = 0.0  # when its end was written: what the client sends after it crossed the close
         self.calls = self.faults = 0
         self.born = self.used_at = self.half_since = time.monotonic()
@@ -186,6 +190,7 @@
             writer.cancel()
             reader.cancel()
             await asyncio.gather(writer, reader, return_exceptions=True)
+            self.ending = True  # closed: nobody need look at its socket, or make room by it, any more
             self.sock.close()
             self.outbox.close()
             if self.cell is not None and self.front.holding is not None:
@@ -200,41 +205,81 @@
 
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
-        while not self.ending and await self.parser.buffer.receive(loop, self.sock):
+        while not self.ending and await self.parser.buffer.receive_late(loop, self.sock):
             faults = self.faults
             try:
                 self._take()
             except fastcgi.FramingError as error:
                 self._fault(str(error))
                 self._fail_all()
-            if self.outbox.pending > PAUSE_BYTES:
-                await self.outbox.drained.wait()
+            while self.outbox.pending > PAUSE_BYTES and not self.ending:
+                if await self._rest(self.outbox.drained.wait(), LOOK_S):
+                    return
             if self.faults > faults and not self.ending:
-                await asyncio.sleep(FAULT_PAUSE_S * self.faults)
+                pause = asyncio.sleep(FAULT_PAUSE_S * self.faults)
+                if await self._rest(pause, FAULT_PAUSE_S * self.faults):
+                    return
         if self.ending:
             await self._end()
 
+    async def _rest(self, until: Awaitable[object], most_s: float) -> bool:
+        """Read nothing until then, or for so long; True: the client has gone meanwhile, which must be
+        noticed though nothing is read."""
+        waiting, end = asyncio.ensure_future(until), time.monotonic() + most_s
+        try:
+            while time.monotonic() < end:
+                await asyncio.wait({waiting}, timeout=min(LOOK_S, max(0.001, end - time.monotonic())))
+                if waiting.done():
+                    return False
+                if ended(self.sock):
+                    return True
+            return False
+        finally:
+            waiting.cancel()
+
     def _take(self) -> None:
         """Whatever is whole of what has come."""
         half, calls, self.used_at = self.parser.half, self.calls, time.monotonic()
         for message in self.parser.messages():
             self._message(message)
-            if self.ending:
+            if self.ending and not self.shut_at:
                 return
         if not half or self.calls > calls:
             self.half_since = self.used_at
 
     async def _end(self) -> None:
-        """Answer what is open, then close so that the answers arrive."""
-        while self.open:
-            self.answered = asyncio.get_running_loop().create_future()
-            await self.answered
-        with contextlib.suppress(TimeoutError):
+        """Answer what is open, write the end behind it, and read on to the client's own end, bounded: a close
+        over unread bytes would take the last answer along."""
+        loop = asyncio.get_running_loop()
+        while self.open or self.outbox.pending:
+            self.answered = loop.create_future()
+            until = self.answered if self.open else self.outbox.drained.wait()
+            if await self._rest(until, LOOK_S) or not self._hear():
+                return
+        self.shut_at = self.shut_at or time.monotonic()
+        with contextlib.suppress(TimeoutError, OSError):
+            self.sock.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(LINGER_S):
-                await self.outbox.drained.wait()
-                self.sock.shutdown(socket.SHUT_WR)
-                while await asyncio.get_running_loop().sock_recv(self.sock, 65_536):
-                    pass
+                while await loop.sock_recv(self.sock, 65_536):
+                    await asyncio.sleep(
+                        READ_S
+                    )  # what comes without end takes no more than a share of the core
+
+    def _hear(self) -> bool:
+        """While it ends, what comes is read for what is taken back alone; False: the client has gone."""
+        try:
+            more = self.sock.recv(65_536)
+        except BlockingIOError:
+            return True
+        if more and not self.deaf:
+            self.parser.buffer.feed(more)
+            try:
+                for message in self.parser.messages():
+                    if isinstance(message, fastcgi.Aborted):
+                        self._message(message)
+            except fastcgi.FramingError:
+                self.deaf = True
+        return bool(more)
 
     def _message(self, message: fastcgi.Message) -> None:
         match message:
@@ -250,6 +295,7 @@
                 self.outbox.post(Parcel(data))
                 if fault:
                     self._fault(fault)
+                self.deaf |= last
                 self.ending |= last
 
     def _fault(self, text: str) -> None:
@@ -264,7 +310,7 @@
         for number in numbers:
             self._send(number, fastcgi.answer(number, "400 Bad Request", {}, b""))
         self.parser.partial.clear()
-        self.ending = True
+        self.ending = self.deaf = True
 
     answered: asyncio.Future[None] | None = None
 
@@ -286,7 +332,7 @@
         if release is not None:
             release()
         now = time.monotonic()
-        if self.front.closing and self.free(now, 0.0):
+        if self.front.closing and self.may_end(now):
             self.close_softly(now)
 
     def close_softly(self, now: float) -> None:
@@ -374,6 +420,11 @@
             return False
         return not unread(self.sock)
 
+    def may_end(self, now: float) -> bool:
+        """The same while the front closes: who is in the middle of a call is left some time to end it."""
+        half = self.parser.half and now - self.used_at < room.HALF_REST_S
+        return not half and self.free(now, 0.0)
+
     def overstays(self, now: float) -> bool:
         """Does it hold a place for nothing: silent, stuck in half a request, or idle for too long?
 
@@ -423,7 +474,7 @@
     def close_free(self) -> None:
         now = time.monotonic()
         for client in list(self.clients):
-            if client.free(now, 0.0):
+            if client.may_end(now):
                 client.close_softly(now)
 
     def bad(self, text: str) -> None:
@@ -445,7 +496,7 @@
                     task.cancel()
                 elif client.overstays(now):
                     self.counters.add("client.overstayed")
-                    task.cancel()
+                    self._give_up(client, now)
 
     def _make_room(self) -> bool:
         """End the connection that is least missed (`room.order`) to make room for a newcomer."""
@@ -456,34 +507,62 @@
         if least is None:
             return False
         self.counters.add("client.displaced")
-        if len(self.shut) < max(4, self.most_clients // SHUT_SHARE):
-            least.close_softly(now)
-        else:
-            self.clients.pop(least).cancel()  # nothing owed, nothing unread: its close resets nothing
+        self._give_up(least, now)
         return True
 
+    def _give_up(self, client: Client, now: float) -> None:
+        """End a connection that owes nothing and has nothing unread: softly, as far as there are places for
+        such as linger, else at once, behind its written end."""
+        full = len(self.shut) >= max(4, self.most_clients // SHUT_SHARE)
+        client.close_softly(now)
+        if full:
+            self.shut.discard(client)
+            self.clients.pop(client).cancel()
+
     async def accept(self, sock: socket.socket) -> None:
-        """Take in clients until cancelled; being out of descriptors passes."""
-        loop = asyncio.get_running_loop()
+        """Take in clients until cancelled; being out of descriptors passes.
+
+        The wait takes nothing, and what is taken is kept in the same breath: a cancel loses no client.
+        """
+        loop, now, pause = asyncio.get_running_loop(), 0, 0.0
         while True:
             try:
-                conn, _ = await loop.sock_accept(sock)
+                self._admit(sock.accept()[0])
+            except BlockingIOError:
+                await readable(loop, sock)
+                continue
             except OSError as error:
                 self.counters.add("error.accept")
                 log.warning("accept failed", error=str(error))
-                await asyncio.sleep(ACCEPT_PAUSE_S)
-                continue
-            if len(self.clients) - len(self.shut) >= self.most_clients and not self._make_room():
-                self.counters.add("client.refused")
-                conn.close()
-                continue
+                pause = ACCEPT_PAUSE_S
+            now += 1
+            if pause or now % ACCEPT_TURN == 0:  # a crowd at the door leaves the others their turn
+                await asyncio.sleep(pause)
+                pause = 0.0
+
+    def accept_rest(self, sock: socket.socket) -> None:
+        """Take in whoever has connected already, before the listening socket closes: a close would reset them
+        with what they have written."""
+        with contextlib.suppress(OSError):  # none is left, or there is no room for more
+            for _ in range(BACKLOG):
+                self._admit(sock.accept()[0])
+
+    def _admit(self, conn: socket.socket) -> None:
+        if len(self.clients) - len(self.shut) >= self.most_clients and not self._make_room():
+            self.counters.add("client.refused")
+            conn.close()
+            return
+        try:
             conn.setblocking(False)
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.counters.add("client.accepted")
-            client = Client(self, conn)
-            task = loop.create_task(client.run())
-            self.clients[client] = task
-            task.add_done_callback(partial(self._gone, client))
+        except OSError:  # gone again already
+            conn.close()
+            return
+        self.counters.add("client.accepted")
+        client = Client(self, conn)
+        task = asyncio.get_running_loop().create_task(client.run())
+        self.clients[client] = task
+        task.add_done_callback(partial(self._gone, client))
 
     def _gone(self, client: Client, _: asyncio.Task[None]) -> None:
         self.clients.pop(client, None)
@@ -503,14 +582,20 @@
             self.close_free()
             await asyncio.sleep(READ_S)  # a request that has come is owed its answer, if not yet read
         log.info("ending the rest", clients=len(self.clients), owed=len(self.core.lives))
-        while any(unread(client.sock) for client in self.clients) or not self.core.idle.is_set():
+        end = time.monotonic() + STALLED_S
+        while not self.core.idle.is_set() or (self._unheard() and time.monotonic() < end):
+            await asyncio.sleep(READ_S)
+        while self.clients and time.monotonic() < end:  # the sweep cuts off who does not end its side
+            for client in list(self.clients):
+                if not client.shut_at and not client.open and not client.outbox.pending:
+                    client.close_softly(time.monotonic())
             await asyncio.sleep(READ_S)
-        log.info("ended", clients=len(self.clients), crossed=self.counters.counts["client.crossed"])
-        for client in list(self.clients):
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(STALLED_S):
-                    await client.outbox.drained.wait()
         tasks = list(self.clients.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        log.info("ended", crossed=self.counters.counts["client.crossed"])
+
+    def _unheard(self) -> bool:
+        """Has a client sent what is not yet read, for its end not to come over it?"""
+        return any(not client.ending and unread(client.sock) for client in self.clients)
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -47,8 +47,10 @@
 class Exchange:
     """The program with its stand-ins."""
 
-    def __init__(self, folder: Path, service: str = "", handed: bool = False, door: bool = False) -> None:
-        self.config = json.loads((FOLDER / "config.json").read_text())
+    def __init__(
+        self, folder: Path, service: str = "", handed: bool = False, door: bool = False, config: str = ""
+    ) -> None:
+        self.config = json.loads(config or (FOLDER / "config.json").read_text())
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
         self.listeners["coordinator"] = self._listen(COORDINATOR)
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,565 @@
+"""Each path that ends something, at the instant in which something is still owed (docs/design/endings.md).
+
+Real sockets; each crossing is forced: a member whose connection comes up when the test says so, a peer that
+stops reading, a hook at the point of the crossing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from onyxwick import interface as i
+from onyxwick.core import Answer, Verdict
+from onyxwick.core.engine import unix_us
+from onyxwick.core.model import Order, Outcome
+from onyxwick.net import caches, coordinator, fastcgi, front, resp
+from onyxwick.net.coordinator import Coordinator
+from onyxwick.net.outbox import Outbox, Parcel, Tally
+from tests.ground import FOUND, PATIENCE_S, Ground, ask, call, played
+from tests.world import SETTINGS
+
+
+def _answer(life_id: str, word: bytes = b"data", fields: bytes = FOUND, body: bytes = b"walk") -> bytes:
+    return resp.command(life_id.encode(), word, fields, body)
+
+
+# ---- what is no longer wanted is not sent -----------------------------------------------------------------
+
+
+def _on_arrival(ground: Ground, *members: str) -> None:
+    ground.script.arrived = lambda request: ask(request, *members)
+
+
+def _on_error(ground: Ground, deed: Callable[[str], list[i.Action]]) -> None:
+    ground.script.ended = lambda request, status: deed(request) if status is i.Status.ERROR else []
+
+
+def test_a_client_that_left_while_its_attempt_waited_for_a_connection_has_nothing_sent_for_it() -> None:
+    async def play(ground: Ground) -> None:
+        (let_up,) = ground.held("c0")
+        _on_arrival(ground, "c0")
+        gone, stays = ground.start(), ground.start()
+        await ground.until(lambda: len(ground.caches.links.get("c0", ())) > 0)
+        ground.core.leave(gone)
+        conn = await let_up()
+        got = await ground.read(conn, stays.request.id.encode())
+        assert gone.request.id.encode() not in got
+        conn.send(_answer(stays.request.id))
+        await ground.until(lambda: ground.answers)
+        assert sorted(s.value for s in ground.script.ends()) == ["not_sent", "ok"]
+
+    played(play)
+
+
+def test_a_client_that_leaves_in_the_turn_in_which_its_attempt_starts_has_nothing_sent_for_it() -> None:
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+        _on_arrival(ground, "c0")
+        life = ground.start()
+        while not life.attempts:
+            await asyncio.sleep(0)  # the attempt's task is there, and has not taken its first step
+        ground.core.leave(life)
+        await ground.until(lambda: ground.script.ends())
+        assert ground.script.ends() == [i.Status.NOT_SENT] and not ground.caches.links
+        sock.close()
+
+    played(play)
+
+
+def test_a_second_copy_that_waits_as_the_first_is_answered_is_not_sent() -> None:
+    async def play(ground: Ground) -> None:
+        sock, (let_up,) = ground.cache("c0"), ground.held("c1")
+        _on_arrival(ground, "c0", "c1")
+        life = ground.start()
+        first = await ground.accepted(sock)
+        await ground.read(first, life.request.id.encode())
+        first.send(_answer(life.request.id))
+        await ground.until(lambda: ground.answers)
+        await let_up()
+        await ground.until(lambda: ground.script.ends() == [i.Status.OK, i.Status.NOT_SENT])
+        assert ground.answers[0].verdict is Verdict.SERVED
+
+    played(play)
+
+
+def test_a_repeat_by_key_that_waits_beyond_its_window_is_not_sent() -> None:
+    kinds = tuple(replace(c, window_us=300_000) if c.name == "hold" else c for c in SETTINGS.classes)
+
+    async def play(ground: Ground) -> None:
+        sock, (let_up,) = ground.cache("c0"), ground.held("c1")
+
+        _on_arrival(ground, "c0")
+        _on_error(ground, lambda request: ask(request, "c1"))  # at once, and the way is not up in time
+        life = ground.start("hold")
+        first = await ground.accepted(sock)
+        await ground.read(first, life.request.id.encode())
+        first.send(_answer(life.request.id, b"failed", b"-", b""))
+        await ground.until(lambda: ground.caches.links.get("c1"))
+        await asyncio.sleep(0.35)  # the window passes
+        second = await let_up()
+        await ground.until(lambda: ground.script.ends() == [i.Status.ERROR, i.Status.NOT_SENT])
+        second.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            assert not second.recv(65_536)
+
+    played(play, replace(SETTINGS, classes=kinds))
+
+
+def test_what_must_not_run_twice_is_not_sent_again_whatever_was_decided() -> None:
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+        _on_arrival(ground, "c0", "c0")
+        life = ground.start("save")
+        conn = await ground.accepted(sock)
+        await ground.read(conn, life.request.id.encode())
+        await ground.until(lambda: ground.script.ends())
+        assert ground.script.ends() == [i.Status.NOT_SENT]
+        conn.send(_answer(life.request.id))
+        await ground.until(lambda: ground.answers)
+
+    played(play)
+
+
+def test_a_drain_told_by_a_feed_that_had_fallen_silent_holds_for_what_waits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(coordinator, "SILENT_S", 0.2)
+
+    async def play(ground: Ground) -> None:
+        (let_up,) = ground.held("c0")
+        _on_arrival(ground, "c0")
+        feed = socket.create_server(("127.0.0.1", 0))
+        feed.setblocking(False)
+        ground.opened.append(feed)
+        follower = Coordinator(ground.core, ground.counters)
+        follower.move(feed.getsockname())
+        ground.tasks.append(asyncio.get_running_loop().create_task(follower.follow()))
+        silent = await ground.accepted(feed)
+        await ground.read(silent, b"follow 0\n")
+        life = ground.start()
+        await ground.until(lambda: ground.caches.links.get("c0"))
+        again = await ground.accepted(feed)  # after a silence, on a new connection
+        await ground.read(again, b"follow 0\n")
+        row = (
+            '{"id":"c0","addr":"127.0.0.1:1","zone":"edge-1","kind":"box","state":"DRAINING","started_ms":0}'
+        )
+        told = '{"index":1,"endpoints":{"version":2,"full":false,"servers":[' + row + "]}}\n"
+        again.send(told[:40].encode())  # half a line, and the rest
+        await asyncio.sleep(0.02)
+        again.send(told[40:].encode())
+        await ground.until(lambda: not ground.members.ready("c0"))
+        await let_up()
+        await ground.until(lambda: ground.script.ends() == [i.Status.NOT_SENT])
+        assert not life.gone
+
+    played(play)
+
+
+def test_a_parcel_behind_one_that_the_socket_does_not_take_is_checked_when_its_turn_comes() -> None:
+    async def play(ground: Ground) -> None:
+        near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
+        ground.opened += [near, far]
+        for sock in (near, far):
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        box, good, dropped = Outbox(near, Tally()), [True], list[str]()
+        first = box.post(Parcel(b"a" * 40_000))
+        second = box.post(Parcel(b"late", lambda: good[0], lambda: dropped.append("late")))
+        third = box.post(Parcel(b"END"))
+        ground.tasks.append(asyncio.get_running_loop().create_task(box.run()))
+        await asyncio.sleep(
+            0.02
+        )  # the peer has stopped: the first is under way, of the second no byte is out
+        assert box.stalled(asyncio.get_running_loop().time() + 60, 3.0)
+        good[0] = False
+        got = await ground.read(far, b"END")
+        assert got == b"a" * 40_000 + b"END" and dropped == ["late"]
+        assert box.pending == 0 and box.drained.is_set()
+        words = [p.progress.value for p in (first, second, third)]
+        assert words == ["written", "dropped", "written"]
+
+    played(play)
+
+
+# ---- answers ----------------------------------------------------------------------------------------------
+
+
+def test_a_copy_is_called_current_only_under_the_tag_that_the_client_holds() -> None:
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+
+        _on_arrival(ground, "c0")
+        _on_error(ground, lambda request: [i.Fail(request)])
+        life = ground.start(held_tag="4be0c1927d55a6f3")
+        conn = await ground.accepted(sock)
+        await ground.read(conn, life.request.id.encode())
+        conn.send(_answer(life.request.id, b"unchanged", b"digest=0000000000000000,note=HIT", b""))
+        await ground.until(lambda: ground.answers)
+        assert ground.answers[0].verdict is Verdict.FAILED and ground.counters.counts["bad.tag"] == 1
+        life = ground.start(held_tag="4be0c1927d55a6f3")  # and that connection goes on
+        await ground.read(conn, life.request.id.encode())
+        conn.send(_answer(life.request.id, b"unchanged", FOUND, b""))
+        await ground.until(lambda: len(ground.answers) == 2)
+        assert ground.answers[1].unchanged
+
+    played(play)
+
+
+def test_an_answer_without_end_holds_up_no_later_attempt() -> None:
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+        _on_arrival(ground, "c0")
+        life = ground.start(timeout_us=800_000)
+        conn = await ground.accepted(sock)
+        await ground.read(conn, life.request.id.encode())
+        conn.send(_answer(life.request.id, body=b"x" * 9000)[:-9000])
+
+        async def drip() -> None:
+            while True:
+                await asyncio.sleep(0.02)
+                conn.send(b"x")
+
+        ground.tasks.append(asyncio.get_running_loop().create_task(drip()))
+        await ground.until(lambda: ground.script.ends() == [i.Status.TIMEOUT])
+        later = ground.start()
+        other = await ground.accepted(sock)  # not behind the one that never ends
+        await ground.read(other, later.request.id.encode())
+
+    played(play)
+
+
+@pytest.mark.parametrize("first", ["answer", "time-out"])
+def test_an_answer_and_the_time_out_in_one_turn_are_one_end(first: str) -> None:
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+        _on_arrival(ground, "c0")
+        life = ground.start()
+        conn = await ground.accepted(sock)
+        await ground.read(conn, life.request.id.encode())
+        (link,) = ground.caches.links["c0"]
+        (only,) = link.calls.values()
+        words = [life.request.id.encode(), b"data", FOUND, b"walk"]
+        deeds: list[Callable[[], None]] = [lambda: link._answered(words), lambda: link.expire(only)]
+        for deed in deeds if first == "answer" else reversed(deeds):
+            deed()  # both before the life hears of either
+        await ground.until(lambda: ground.script.ends())
+        wanted = i.Status.OK if first == "answer" else i.Status.TIMEOUT
+        assert ground.script.ends() == [wanted] and len(ground.answers) == (first == "answer")
+
+    played(play)
+
+
+def test_an_answer_under_way_as_the_cache_closes_in_mid_answer_is_none() -> None:
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+        _on_arrival(ground, "c0")
+        life = ground.start()
+        conn = await ground.accepted(sock)
+        await ground.read(conn, life.request.id.encode())
+        conn.send(_answer(life.request.id)[:-3])
+        conn.close()
+        await ground.until(lambda: ground.script.ends() == [i.Status.RESET])
+        assert not ground.answers and not ground.caches.links
+
+    played(play)
+
+
+# ---- the front --------------------------------------------------------------------------------------------
+
+
+def test_a_client_closed_a_moment_ago_stops_neither_the_door_nor_the_sweep() -> None:
+    """Its socket is closed, and its task's end not yet told: whoever looks through all clients meets it."""
+
+    async def play(ground: Ground) -> None:
+        sock = await ground.client()
+        await ground.until(lambda: ground.front.clients)
+        ((client, _),) = ground.front.clients.items()
+        met, close = list[object](), client.outbox.close
+
+        def crossing() -> None:
+            client.born = client.used_at = 0.0
+            try:
+                client.overstays(9.0)
+                ground.front._make_room()
+                ground.front.close_free()
+            except ValueError as error:
+                met.append(error)
+            met.append("closed" if client.sock.fileno() < 0 else "open")
+            close()
+
+        client.outbox.close = crossing  # type: ignore[method-assign]
+        sock.close()
+        await ground.until(lambda: not ground.front.clients)
+        assert met == ["closed"]
+        other = await ground.client()
+        other.send(call(1, path="/ping"))
+        await ground.read(other, b"200 OK")
+
+    played(play)
+
+
+def test_whoever_has_connected_as_the_door_closes_is_taken_in() -> None:
+    async def play(ground: Ground) -> None:
+        await ground.client()
+        await ground.until(lambda: ground.front.clients)
+        late = socket.create_connection(ground.door.getsockname())
+        late.setblocking(False)
+        ground.opened.append(late)
+        late.send(call(1, path="/ping"))
+        ground.tasks[0].cancel()  # before the loop has seen that there is somebody
+        await asyncio.gather(ground.tasks[0], return_exceptions=True)
+        ground.front.accept_rest(ground.door)
+        ground.door.close()
+        await ground.read(late, b"200 OK")
+
+    played(play)
+
+
+def test_a_connection_that_is_gone_as_it_is_taken_in_does_not_close_the_door() -> None:
+    async def play(ground: Ground) -> None:
+        class Gone(socket.socket):
+            def setsockopt(self, *told: object) -> None:
+                raise OSError(22, "Invalid argument")
+
+        near, far = socket.socketpair()
+        ground.front._admit(Gone(fileno=near.detach()))
+        far.close()
+        assert not ground.front.clients
+        other = await ground.client()
+        other.send(call(1, path="/ping"))
+        await ground.read(other, b"200 OK")
+
+    played(play)
+
+
+class Slow:
+    """A transport whose first answer is far more than a socket takes; the second never comes."""
+
+    def __init__(self) -> None:
+        self.runs = 0
+
+    async def run(self, order: Order) -> Outcome:
+        self.runs += 1
+        if self.runs > 1:
+            await asyncio.sleep(PATIENCE_S)
+        return Outcome(i.Status.OK, body=b"x" * 240_000)
+
+
+@pytest.mark.parametrize("end", ["half-close", "close", "reset"])
+def test_a_client_that_leaves_while_it_is_not_read_from_is_heard(
+    end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(front, "PAUSE_BYTES", 100_000)
+
+    async def play(ground: Ground) -> None:
+        ground.core.transport = Slow()
+        _on_arrival(ground, "c0")
+        sock = await ground.client()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await ground.until(lambda: ground.front.clients)
+        ((client, _),) = ground.front.clients.items()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sock.send(call(1) + call(2))
+        await ground.until(lambda: client.outbox.pending > 100_000 and client.open)
+        await asyncio.sleep(0.02)  # from here on it is not read from
+        (life,) = client.open.values()
+        assert life is not None and not life.gone
+        sock.send(b"\x01")  # what comes unread before its end hides it from a read
+        if end == "half-close":
+            sock.shutdown(socket.SHUT_WR)
+        elif end == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            sock.close()
+        else:
+            sock.close()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await ground.until(lambda: life.gone)
+        assert loop.time() - began < 1.0  # a tenth of a second, with room for a slow machine
+
+    played(play)
+
+
+def test_a_call_taken_back_while_its_connection_ends_is_taken_back() -> None:
+    async def play(ground: Ground) -> None:
+        ground.core.transport = Slow()
+        ground.core.transport.runs = 1
+        _on_arrival(ground, "c0")
+        sock = await ground.client()
+        sock.send(call(1, keep=False))
+        await ground.until(lambda: ground.core.lives)
+        (life,) = ground.core.lives.values()
+        sock.send(fastcgi.record(fastcgi.Type.ABORT, 1, b""))
+        await ground.until(lambda: life.gone)
+        await ground.read(sock, fastcgi.end_request(1))
+
+    played(play)
+
+
+def test_an_end_is_written_behind_the_answer_and_what_still_comes_is_read() -> None:
+    """A close over unread bytes would reset the connection and take the answer along."""
+
+    async def play(ground: Ground) -> None:
+        sock = await ground.client()
+        sock.send(call(1, path="/ping", keep=False))
+        await ground.read(sock, b"200 OK")
+        await asyncio.sleep(0.05)
+        for _ in range(3):
+            sock.send(b"what still comes")
+            await asyncio.sleep(0.02)
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+
+    played(play)
+
+
+def test_a_slow_reader_of_a_last_answer_gets_all_of_it() -> None:
+    async def play(ground: Ground) -> None:
+        ground.core.transport = Slow()
+        _on_arrival(ground, "c0")
+        sock = await ground.client()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await ground.until(lambda: ground.front.clients)
+        ((client, _),) = ground.front.clients.items()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sock.send(call(1, keep=False))
+        await ground.until(lambda: client.outbox.pending)
+        await asyncio.sleep(front.LINGER_S + 0.2)
+        got = await ground.read(sock, fastcgi.end_request(1))
+        assert got.count(b"x") >= 240_000
+
+    played(play)
+
+
+def test_half_a_call_at_the_soft_close_keeps_its_connection_until_it_is_whole() -> None:
+    async def play(ground: Ground) -> None:
+        sock, whole = await ground.client(), call(1, path="/ping")
+        sock.send(whole[:30])
+        await ground.until(lambda: any(c.parser.half for c in ground.front.clients))
+        ground.front.close(True)
+        sock.send(whole[30:])
+        await ground.read(sock, b"200 OK")
+
+    played(play)
+
+
+def test_a_call_read_after_the_end_was_written_is_not_sent_on() -> None:
+    async def play(ground: Ground) -> None:
+        _on_arrival(ground, "c0")
+        sock = await ground.client()
+        sock.send(call(1, path="/ping"))
+        await ground.read(sock, b"200 OK")
+        ((client, _),) = ground.front.clients.items()
+        sock.send(call(2))
+        client.close_softly(1.0)  # in the same turn: the call is in the socket and not read
+        await ground.until(lambda: ground.counters.counts["client.crossed"])
+        assert not ground.core.lives and not ground.script.events
+
+    played(play)
+
+
+def test_a_call_that_the_loop_has_just_seen_is_owed_its_answer() -> None:
+    """Its bytes have come, its reader has not had its turn, and in that turn the resting ones are ended."""
+
+    async def play(ground: Ground) -> None:
+        loop = asyncio.get_running_loop()
+        sock, (near, far) = await ground.client(), socket.socketpair()
+        ground.opened += [near, far]
+        sock.send(call(1, path="/ping"))
+        await ground.read(sock, b"200 OK")
+        await asyncio.sleep(0.02)
+        loop.add_reader(far.fileno(), lambda: ground.front.close(True))
+        sock.send(call(2, path="/ping"))
+        near.send(b"x")  # both are seen in the same look, the call first
+        await ground.read(sock, b"200 OK")
+        loop.remove_reader(far.fileno())
+        assert not ground.counters.counts["client.crossed"]
+
+    played(play)
+
+
+def test_the_end_of_a_director_resets_nobody_who_still_writes() -> None:
+    async def play(ground: Ground) -> None:
+        sock = await ground.client()
+        sock.send(call(1, path="/ping") + call(2, path="/ping")[:20])  # never whole
+        await ground.read(sock, b"200 OK")
+        ground.tasks.append(asyncio.get_running_loop().create_task(ground.front.sweep()))
+        finishing = asyncio.get_running_loop().create_task(ground.front.finish(0.1, False))
+        ((client, _),) = ground.front.clients.items()
+        await ground.until(lambda: client.shut_at)
+        for _ in range(3):
+            sock.send(b"x")
+            await asyncio.sleep(0.02)
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+        await finishing
+        assert not ground.front.clients
+
+    played(play)
+
+
+# ---- the feed ---------------------------------------------------------------------------------------------
+
+
+def test_a_reload_in_the_turn_in_which_the_feeds_silence_is_over_is_no_error() -> None:
+    async def play(ground: Ground) -> None:
+        follower = Coordinator(ground.core, ground.counters)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(10) as follower.limit:
+                follower.limit.reschedule(asyncio.get_running_loop().time())
+                asyncio.get_running_loop().call_soon(follower.move, ("127.0.0.1", 2))
+                await asyncio.sleep(1)
+        assert follower.address == ("127.0.0.1", 2)
+
+    failed = list[object]()
+
+    async def watched(ground: Ground) -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda _, told: failed.append(told))
+        await play(ground)
+
+    played(watched)
+    assert not failed
+
+
+def test_all_sockets_write_at_once() -> None:
+    """Small writes that the system holds back go with a reset."""
+
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+        _on_arrival(ground, "c0")
+        ground.start()
+        await ground.accepted(sock)
+        (link,) = ground.caches.links["c0"]
+        await ground.client()
+        await ground.until(lambda: ground.front.clients)
+        ((client, _),) = ground.front.clients.items()
+        for each in (link.sock, client.sock):
+            assert each.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    played(play)
+
+
+def test_one_final_answer_though_time_and_answer_come_together() -> None:
+    """The request's own time is over in the turn in which its answer comes."""
+
+    async def play(ground: Ground) -> None:
+        sock = ground.cache("c0")
+        _on_arrival(ground, "c0")
+        life = ground.start(arrived_us=unix_us())
+        conn = await ground.accepted(sock)
+        await ground.read(conn, life.request.id.encode())
+        (link,) = ground.caches.links["c0"]
+        from onyxwick.core.engine import Left
+
+        life.mailbox.put(Left(overdue=True))
+        link._answered([life.request.id.encode(), b"data", FOUND, b"walk"])
+        await ground.until(lambda: not ground.core.lives)
+        assert [a.verdict for a in ground.answers] == [Verdict.FAILED]
+        assert isinstance(ground.answers[0], Answer) and caches.STUCK_S > 0
+
+    played(play)
