lab ramp: what a whole fleet sends to a member that has just started, over what the rule allows

Need: no director may count on a chance of its own on top of its part of a cold member's budget, for 1 to 200 directors. Told: the greatest load in any window over N + 2 x root of N + 2, and what was sent of what could have been.

--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -168,6 +168,23 @@
         click.echo(json.dumps(measured(cells, span, boxes, tenants)))
 
 
+@lab.command()
+@click.option("--seeds", default=20, show_default=True)
+@click.option(
+    "--hard/--plain", default=False, help="Told late, restarts, uneven traffic, two start, full load."
+)
+@click.option("--at-once", default=4, show_default=True, help="Cases played beside each other.")
+def ramp(seeds: int, hard: bool, at_once: int) -> None:
+    """What fleets send to a member that has just started, over what the rule allows, as JSON lines."""
+    from concurrent.futures import ProcessPoolExecutor
+
+    from onyxwick.lab.ramp import cases, measure
+
+    with ProcessPoolExecutor(at_once) as pool:
+        for row in pool.map(measure, cases(hard), [range(1, seeds + 1)] * len(cases(hard))):
+            click.echo(json.dumps(row))
+
+
 @lab.command()
 @click.argument("sites", type=click.IntRange(2, 512))
 @click.option("--pairs/--no-pairs", default=True, help="The losses of two sites at once, too.")
