All that may hold a descriptor fits under the limit together, and a limit too small is refused

Seen by adding the bounds: at 1,024 descriptors with the operators' door, links 256, clients 744, written ends 46, the door 38 and the fixed parts come to over 1,090; at 64 with a handed socket no client place is left, and the program starts all the same. To blame: Config.most_clients counted neither written ends nor the door; Caches._link made a link for a member that had none to spare whatever their number. Changed: client places leave room for both; links stop 8 over their bound (the attempt ends as never sent, another member is tried); under 8 client places the configuration is refused with file, field and likely intent. Tests: the sum of all bounds for six limits, with and without door and handed socket (seen to fail before), and a run under RLIMIT_NOFILE 96 with discovery down and idle, half and hanging clients taking all places (it passed before too).

--- a/onyxwick/config/relay.py
+++ b/onyxwick/config/relay.py
@@ -16,7 +16,11 @@
 from onyxwick.settings import Pairs, SettingError, read_settings
 
 BASE_MB = 32  # of memory, used by the program as it starts
-SPARE_SOCKETS = 24  # standard streams, the event loop's own, the feed, the door and some in reserve
+SPARE_SOCKETS = 24  # standard streams, the event loop's own, the feed, a file read anew and some in reserve
+DOOR_SOCKETS = 40  # of the operators' door: its places, its own event loop's; an eighth of all at most
+LEAST_CLIENTS = 8
+SHUT_SHARE = 16  # for so many client places one more is for a connection whose end is written already
+SHUT_LEAST = 4
 OPEN_BYTES = 65_536  # memory that a request is reckoned at: its answer as it comes and as it goes
 
 
@@ -48,7 +52,11 @@
 
     @property
     def most_clients(self) -> int:
-        return self.sockets // self.shares - self.most_links - SPARE_SOCKETS
+        """Client places, beside those for connections whose end is written (`most_shut`)."""
+        all_sockets = self.sockets // self.shares
+        door = min(DOOR_SOCKETS, all_sockets // 8) if self.admin is not None else 0
+        left = all_sockets - self.most_links - SPARE_SOCKETS - door
+        return min(left - SHUT_LEAST, left * SHUT_SHARE // (SHUT_SHARE + 1))
 
     @property
     def room_bytes(self) -> int:
@@ -123,7 +131,13 @@
     admin = _door(door, "variable 'RELAY_ADMIN'", config.listen) if door else None
     if admin is None and data.get("admin") not in (None, ""):
         admin = _door(data["admin"], "field 'admin'", config.listen)
-    return replace(config, listen_fd=_descriptor(environment.get("RELAY_LISTEN_FD")), admin=admin)
+    config = replace(config, listen_fd=_descriptor(environment.get("RELAY_LISTEN_FD")), admin=admin)
+    if config.most_clients < LEAST_CLIENTS:
+        raise ConfigError(
+            f"field 'limits.sockets' of {path}: {config.sockets} leaves {max(0, config.most_clients)} places"
+            f" for clients beside the fixed parts; likely intent: {128 * config.shares} or more"
+        )
+    return config
 
 
 def _door(told: object, where: str, listen: tuple[str, int]) -> tuple[str, int]:
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -21,6 +21,7 @@
 
 log = logs.get()
 LINKS_LEAST, LINKS_MOST = 2, 8  # connections to one member: one spoilt answer takes all others on its own
+LINKS_OVER = 8  # links over their bound at most, where those in the way are about to close
 RECENT = 128  # ids answered on one connection that are remembered
 STUCK_S = (
     0.6  # an answer that has begun and brings nothing for so long stops short: its connection is of no use
@@ -335,6 +336,8 @@
         if least is None or ((order.alone or len(fit) < self._most_each()) and self.count < self.most_links):
             if self.count >= self.most_links:
                 self._close_idle()
+            if self.count >= self.most_links + LINKS_OVER:
+                raise OSError("all places for connections to caches are taken")
             least = Link(self, member, address)
             links.append(least)
             self.count += 1
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -14,6 +14,7 @@
 from onyxwick import interface as i
 from onyxwick import logs
 from onyxwick.config import ConfigError
+from onyxwick.config.relay import SHUT_LEAST, SHUT_SHARE
 from onyxwick.core import Answer, Core, Life, Request, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi, room
@@ -36,7 +37,6 @@
     0.5  # what a client still sends is read for so long, as a close on unread bytes takes the answer away
 )
 READ_S = 0.01
-SHUT_SHARE = 16  # one in so many client places may be held by a connection whose end is written already
 PASSED_ON_US = 100_000  # a new call while the connection is to end: the client is told to come back so soon
 LOOK_S = 0.05  # between two looks whether a client that is not read from has gone
 SWEEP_S = 0.25
@@ -513,7 +513,7 @@
     def _give_up(self, client: Client, now: float) -> None:
         """End a connection that owes nothing and has nothing unread: softly, as far as there are places for
         such as linger, else at once, behind its written end."""
-        full = len(self.shut) >= max(4, self.most_clients // SHUT_SHARE)
+        full = len(self.shut) >= max(SHUT_LEAST, self.most_clients // SHUT_SHARE)
         client.close_softly(now)
         if full:
             self.shut.discard(client)
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -21,6 +21,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -48,8 +49,15 @@
     """The program with its stand-ins."""
 
     def __init__(
-        self, folder: Path, service: str = "", handed: bool = False, door: bool = False, config: str = ""
+        self,
+        folder: Path,
+        service: str = "",
+        handed: bool = False,
+        door: bool = False,
+        config: str = "",
+        descriptors: int = 0,
     ) -> None:
+        self.descriptors = descriptors  # the limit that the platform sets; 0: as it is
         self.config = json.loads(config or (FOLDER / "config.json").read_text())
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
@@ -84,8 +92,12 @@
             stderr=subprocess.PIPE,
             text=True,
             pass_fds=handed,
+            preexec_fn=self._limited if self.descriptors else None,
         )
 
+    def _limited(self) -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
     def _listen(self, address: tuple[str, int]) -> socket.socket:
         sock = socket.create_server(address)
         sock.settimeout(PATIENCE_S)
@@ -173,8 +185,8 @@
         self.path.write_text(new)
         self.program.send_signal(signal.SIGHUP)
 
-    def stop(self) -> None:
-        """SIGTERM, which must end the program cleanly."""
+    def stop(self) -> str:
+        """SIGTERM, which must end the program cleanly; what it logged since it was last read."""
         if self.program.poll() is None:
             self.program.send_signal(signal.SIGTERM)
         _, logged = self.program.communicate(timeout=PATIENCE_S)
@@ -184,3 +196,4 @@
         if self.held is not None:
             self.held.close()
         assert self.program.returncode == 0
+        return logged
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -10,9 +11,10 @@
 from hypothesis import strategies as st
 
 from onyxwick.cells import Cell, KeyRange, MoveOrder, Plan, Policy, Tenant
-from onyxwick.config import ConfigError, hcl, service
+from onyxwick.config import ConfigError, hcl, relay, service
 from onyxwick.config.cells import json_of_plan, plan_of_json, read_plan
 from onyxwick.config.fields import Fields
+from onyxwick.net.caches import LINKS_OVER
 from tests.exchange import FOLDER
 
 GOOD = """
@@ -213,3 +215,19 @@
     with pytest.raises(ConfigError) as error:
         read_plan(Fields(hcl.parse(text, "x.hcl"), "x.hcl"))
     assert str(error.value).startswith(wanted)
+
+
+@pytest.mark.parametrize("sockets", [96, 256, 512, 672, 1024, 4096])
+@pytest.mark.parametrize("admin", [None, ("127.0.0.1", 9600)])
+@pytest.mark.parametrize("handed", [None, 7])
+def test_all_that_may_hold_a_descriptor_fits_under_the_limit(
+    sockets: int, admin: tuple[str, int] | None, handed: int | None
+) -> None:
+    """Every place taken at once: links, also about to close, clients, written ends, the door, fixed parts."""
+    data = json.loads((FOLDER / "config.json").read_text())
+    config = replace(relay.read({**data, "limits": {"sockets": sockets}}), admin=admin, listen_fd=handed)
+    door = min(relay.DOOR_SOCKETS, sockets // config.shares // 8) if admin else 0
+    shut = max(relay.SHUT_LEAST, config.most_clients // relay.SHUT_SHARE)
+    fixed = 14  # streams, the event loop, the listening socket, the feed, a file read anew, one just accepted
+    held = config.most_links + LINKS_OVER + config.most_clients + shut + door + fixed
+    assert held <= sockets // config.shares
--- a/tests/test_endings_program.py
+++ b/tests/test_endings_program.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import select
 import signal
 import socket
 import subprocess
@@ -13,7 +14,7 @@
 from pathlib import Path
 
 from onyxwick.net import resp
-from tests.exchange import COORDINATOR, FOLDER, MOVED, PATIENCE_S, ROOT, Exchange
+from tests.exchange import COORDINATOR, DOOR, FOLDER, LISTEN, MOVED, PATIENCE_S, ROOT, Exchange
 from tests.ground import FOUND, call
 
 CONFIG = (FOLDER / "config.json").read_text()
@@ -115,6 +116,84 @@
         exchange.stop()
 
 
+def _asked(number: int) -> str:
+    return f"{number:016x}"
+
+
+def _serve(exchange: Exchange, number: int, member: str, links: list[socket.socket]) -> None:
+    """A true client comes, asks, and is answered by that member, on whichever of its connections."""
+    listener, asked, read = exchange.listeners[member], _asked(number).encode(), b""
+    with socket.create_connection(LISTEN, PATIENCE_S) as client:
+        client.settimeout(PATIENCE_S)
+        client.sendall(call(1, _asked(number), path="/call/site-video"))
+        while asked not in read:
+            ready, _, _ = select.select([listener, *links], [], [], PATIENCE_S)
+            assert ready, "nothing was sent on"
+            for sock in ready:
+                if sock is listener:
+                    links.append(listener.accept()[0])
+                elif asked in (read := sock.recv(65_536)):
+                    sock.sendall(resp.command(asked, b"data", FOUND, b"walk"))
+                    break
+        got = client.recv(65_536)
+        assert b"200 OK" in got and b"walk" in got, got
+
+
+def test_with_all_places_taken_and_discovery_down_the_fixed_parts_keep_theirs(tmp_path: Path) -> None:
+    """The limit is the platform's: idle clients, halves of calls and answered ones take all they can."""
+    limited = {**json.loads(CONFIG), "limits": {"cores": 1, "memory_mb": 192, "sockets": 96}}
+    exchange = Exchange(tmp_path, door=True, config=json.dumps(limited), descriptors=96)
+    crowd, links = list[socket.socket](), list[socket.socket]()
+    try:
+        exchange._peer("coordinator").close()
+        exchange.listeners["coordinator"].close()
+        crowd.append(socket.create_connection(LISTEN, PATIENCE_S))
+        crowd[0].sendall(b"".join(call(n, _asked(100 + n), path="/call/site-video") for n in range(1, 7)))
+        for number in range(120):
+            with contextlib.suppress(OSError):
+                crowd.append(sock := socket.create_connection(LISTEN, PATIENCE_S))
+                sock.sendall((b"", call(1, path="/ping")[:20], call(1, path="/ping"))[number % 3])
+        crowd += [socket.create_connection(DOOR, PATIENCE_S) for _ in range(32)]  # and the door's places
+        time.sleep(0.4)  # those just come keep their places for a quarter of a second
+        for number in range(3):
+            _serve(exchange, number, "c0", links)
+        with socket.create_connection(DOOR, PATIENCE_S) as door:
+            door.sendall(b"GET /ready HTTP/1.1\r\nHost: door\r\n\r\n")
+            assert b"200" in door.recv(4096)
+        exchange.path.write_text(json.dumps(limited))
+        exchange.program.send_signal(signal.SIGHUP)
+        exchange._until("configuration read again")
+        for sock in crowd:  # all at once
+            sock.close()
+        exchange.listeners["coordinator"] = exchange._listen(COORDINATOR)
+        feed = exchange.listeners["coordinator"].accept()[0]
+        assert feed.recv(100) == b"follow 1\n"
+        row = {**limited["known"]["updates"][0]["endpoints"]["servers"][0], "state": "DRAINING"}
+        told = {"index": 2, "endpoints": {"version": 2, "full": False, "servers": [row]}}
+        feed.sendall(json.dumps(told).encode() + b"\n")
+        time.sleep(0.2)
+        _serve(exchange, 9, "p0", links)  # the drain holds
+        feed.close()
+    finally:
+        for sock in (*crowd, *links):
+            sock.close()
+        logged = exchange.stop()
+    assert "Traceback" not in logged and "accept failed" not in logged, logged
+
+
+def test_a_limit_under_what_the_fixed_parts_need_is_refused(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**json.loads(CONFIG), "limits": {"sockets": 70}, "admin": 9600}))
+    with socket.create_server(LISTEN) as held:
+        environment = {**os.environ, "RELAY_CONFIG": str(path), "RELAY_LISTEN_FD": str(held.fileno())}
+        done = subprocess.run(
+            [sys.executable, "-m", "onyxwick"], cwd=ROOT, env=environment, capture_output=True, text=True,
+            check=False, timeout=PATIENCE_S, pass_fds=(held.fileno(),),
+        )  # fmt: skip
+    assert done.returncode == 2 and "limits.sockets" in done.stderr and "likely intent" in done.stderr
+    assert str(path) in done.stderr and "Traceback" not in done.stderr, done.stderr
+
+
 def test_classes_under_any_names_are_served(tmp_path: Path) -> None:
     """Names come from the settings alone: a whole exchange under names that nothing else knows."""
     names = ((b"site-video", b"corto-film"), (b"booking", b"pedidos"))
