The largest requests of a class get their share: a test on long transfers in sparse and short traffic

The module does not see sizes that are untold, and a transfer of 4.2 s beside others of 0.25 s is neither ejected for silence nor cut: at six settings (a call every 0.1 to 2 s, 3 to 200 directors) the bounds hold, with the module as it was: no mend was needed.

--- /dev/null
+++ b/tests/test_largest.py
@@ -0,0 +1,68 @@
+"""The largest requests of a class get their share: a long transfer is neither silence nor a lost answer."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from onyxwick import interface as i
+from tests.world import SETTINGS, S, World, finals, sent
+
+QUICK_S, LONG_S, TURN_US = 0.25, 4.2, 20_000  # transfers; one request in ten is a long one
+
+
+def _shares(gap_s: float, routers: int, asked: int = 150) -> tuple[float, float]:
+    """Answered share of the long ones and of the others, asked for every `gap_s` seconds."""
+    limits = replace(SETTINGS.limits, second_copies=True)
+    w = World(replace(SETTINGS, routers=routers, routers_in_zone=routers, limits=limits))
+    under_way: dict[tuple[str, int], tuple[int, int, str]] = {}  # attempt: due, sent at, member
+    long: dict[str, bool] = {}
+    tries: dict[str, int] = {}
+    answered: dict[str, bool] = {}
+
+    def act(actions: list[i.Action]) -> None:
+        for action in sent(actions):
+            number = tries[action.request] = tries.get(action.request, -1) + 1
+            took = LONG_S if long[action.request] else QUICK_S
+            under_way[action.request, number] = (w.now + int(took * S), w.now, action.member)
+        for final in finals(actions):
+            answered.setdefault(final.request, False)
+        for cancel in [action for action in actions if isinstance(action, i.Cancel)]:
+            _, _, member = under_way.pop((cancel.request, cancel.attempt), (0, 0, ""))
+            if member:
+                act(w.end(i.Status.CANCELLED, cancel.request, cancel.attempt, member))
+
+    following = w.now
+    while len(long) < asked or under_way:
+        w.now += TURN_US
+        act(w.give(i.TimerFired("due")))
+        for (request, number), (due, begun, member) in list(under_way.items()):
+            if due <= w.now and (request, number) in under_way:
+                del under_way[request, number]
+                answered.setdefault(request, True)
+                detail, took = i.Detail.HIT, w.now - begun
+                act(w.end(i.Status.OK, request, number, member, latency=took, detail=detail))
+        if w.now >= following and len(long) < asked:
+            following += int(gap_s * S)
+            long[f"r{w.asked + 1}"] = len(long) % 10 == 9
+            act(w.ask(name=f"o{w.asked % 7}", part=w.asked % 3, left=6 * S))
+    both = [[answered[r] for r, is_long in long.items() if is_long is kind] for kind in (True, False)]
+    return sum(both[0]) / len(both[0]), sum(both[1]) / len(both[1])
+
+
+@pytest.mark.parametrize(
+    ("gap_s", "routers", "least"),
+    [
+        (0.3, 3, 2 / 3),
+        (1.0, 3, 2 / 3),
+        (1.0, 40, 2 / 3),
+        (2.0, 200, 2 / 3),
+        (0.1, 3, 1 / 2),
+        (0.1, 40, 1 / 2),
+    ],
+)
+def test_the_largest_requests_get_their_share(gap_s: float, routers: int, least: float) -> None:
+    """Two thirds of the others' on quiet days, half where room is short (the last rows)."""
+    long, others = _shares(gap_s, routers)
+    assert others > 0.3 and long >= least * others, (long, others)
