A call that comes while its connection waits to end is refused, not passed over

Need: a connection that ends after bad input, or without KEEP_CONN, waits for the answers still owed before its end is written, for seconds perhaps. To blame: Client._take stopped at the first message after that decision, and _end read for nothing but the client's end: a whole call that came meanwhile was dropped, and lost once 50 ms had passed. Now it is answered as overloaded, which is harmless to repeat. The test was seen to fail before (no END_REQUEST for that call).

--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -242,7 +242,7 @@
         half, calls, self.used_at = self.parser.half, self.calls, time.monotonic()
         for message in self.parser.messages():
             self._message(message)
-            if self.ending and not self.shut_at:
+            if self.deaf:
                 return
         if not half or self.calls > calls:
             self.half_since = self.used_at
@@ -266,7 +266,7 @@
                     )  # what comes without end takes no more than a share of the core
 
     def _hear(self) -> bool:
-        """While it ends, what comes is read for what is taken back alone; False: the client has gone."""
+        """While it ends, aborts are heard and new calls refused; False: the client has gone."""
         try:
             more = self.sock.recv(65_536)
         except BlockingIOError:
@@ -275,7 +275,7 @@
             self.parser.buffer.feed(more)
             try:
                 for message in self.parser.messages():
-                    if isinstance(message, fastcgi.Aborted):
+                    if not isinstance(message, fastcgi.Reply):
                         self._message(message)
             except fastcgi.FramingError:
                 self.deaf = True
@@ -347,6 +347,9 @@
         if self.shut_at:
             self.front.counters.add("client.crossed")  # sent as the close came: the client sends it again
             return
+        if self.ending:  # it has come before the end was written: it is owed an answer, and no more
+            self.front.counters.add("answer.ending")
+            return self._send(call.number, fastcgi.end_request(call.number, fastcgi.Protocol.OVERLOADED))
         self.ending |= not call.keep
         name = call.params.get(b"SCRIPT_NAME", b"")
         if name == b"/ping":
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -512,6 +512,21 @@
     played(play)
 
 
+def test_a_call_that_comes_while_its_connection_waits_to_end_is_refused_and_not_lost() -> None:
+    async def play(ground: Ground) -> None:
+        slow = ground.core.transport = Slow()
+        slow.runs = 1
+        _on_arrival(ground, "c0")
+        sock = await ground.client()
+        sock.send(call(1, keep=False) + call(2))  # in one read
+        await ground.read(sock, fastcgi.end_request(2, fastcgi.Protocol.OVERLOADED))
+        sock.send(call(3))  # and in one of its own, the first still owed
+        await ground.read(sock, fastcgi.end_request(3, fastcgi.Protocol.OVERLOADED))
+        assert len(ground.core.lives) == 1
+
+    played(play)
+
+
 def test_an_end_is_written_behind_the_answer_and_what_still_comes_is_read() -> None:
     """A close over unread bytes would reset the connection and take the answer along."""
 
