lab startup: starts by phase beside an earlier revision; ready with nobody there, seven on one core

A test starts seven directors on one core with no discovery, or a silent one, and a cache that hangs: all answer a ping within 10 s, and the door's /ready agrees. No mend was needed.

--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -168,6 +168,16 @@
         click.echo(json.dumps(measured(cells, span, boxes, tenants)))
 
 
+@lab.command()
+@click.argument("revision")
+@click.option("--runs", default=10, show_default=True)
+def startup(revision: str, runs: int) -> None:
+    """Starts of the director until it is ready and has answered, beside an earlier REVISION, as JSON."""
+    from onyxwick.lab.startup import measure
+
+    click.echo(json.dumps(measure(revision, runs)))
+
+
 @lab.command()
 @click.option("--seeds", default=20, show_default=True)
 @click.option(
--- a/tests/test_endings_program.py
+++ b/tests/test_endings_program.py
@@ -13,6 +13,8 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from onyxwick.net import resp
 from tests.exchange import COORDINATOR, DOOR, FOLDER, LISTEN, MOVED, PATIENCE_S, ROOT, Exchange
 from tests.ground import FOUND, call
@@ -20,9 +22,9 @@
 CONFIG = (FOLDER / "config.json").read_text()
 
 
-def _write(pipe: Path, program: subprocess.Popen[str], text: str, before: int = 0) -> None:
-    """Give the configuration to a program that is reading it, once it is: it can go no further meanwhile.
-    `before`: a signal that reaches it at that point."""
+def _write(pipe: Path, program: subprocess.Popen[str], text: str, before: int, after: str = "") -> None:
+    """Give the configuration to a program that is reading it: it can go no further meanwhile. `before`: a
+    signal that reaches it at that point; `after`: what stands in the file from then on."""
     end = time.monotonic() + PATIENCE_S
     while True:
         try:
@@ -31,9 +33,10 @@
         except OSError:
             assert program.poll() is None and time.monotonic() < end, program.returncode
             time.sleep(0.005)
-    if before:
-        program.send_signal(before)
-        time.sleep(0.1)
+    pipe.rename(pipe.with_suffix(".read"))
+    pipe.write_text(after or text)
+    program.send_signal(before)
+    time.sleep(0.1)
     with os.fdopen(fd, "w") as file:
         file.write(text)
 
@@ -54,9 +57,8 @@
         old.settimeout(PATIENCE_S)
         new.settimeout(PATIENCE_S)
         try:
-            _write(pipe, program, CONFIG, before=signal.SIGHUP)
             moved = {**json.loads(CONFIG), "coordinator": f"{MOVED[0]}:{MOVED[1]}"}
-            _write(pipe, program, json.dumps(moved))
+            _write(pipe, program, CONFIG, signal.SIGHUP, json.dumps(moved))
             feed = new.accept()[0]
             feed.settimeout(PATIENCE_S)
             assert feed.recv(100) == b"follow 1\n"
@@ -70,7 +72,7 @@
 def test_an_end_told_while_the_program_starts_leaves_nothing_behind(tmp_path: Path) -> None:
     pipe, program = _starting(tmp_path)
     with contextlib.suppress(BrokenPipeError):  # it has ended in the middle of reading
-        _write(pipe, program, CONFIG, before=signal.SIGTERM)
+        _write(pipe, program, CONFIG, signal.SIGTERM)
     _, logged = program.communicate(timeout=PATIENCE_S)
     assert program.returncode in (0, -signal.SIGTERM) and "Traceback" not in logged, logged
 
@@ -194,6 +196,60 @@
     assert str(path) in done.stderr and "Traceback" not in done.stderr, done.stderr
 
 
+def _ping(address: tuple[str, int], most_s: float) -> float:
+    """Seconds until a ping is answered with 200."""
+    begun = time.monotonic()
+    while time.monotonic() < begun + most_s:
+        with contextlib.suppress(OSError), socket.create_connection(address, 1.0) as sock:
+            sock.settimeout(1.0)
+            sock.sendall(call(1, path="/ping"))
+            if b"200 OK" in sock.recv(4096):
+                return time.monotonic() - begun
+        time.sleep(0.02)
+    return most_s
+
+
+@pytest.mark.parametrize("discovery", ["down", "silent"])
+def test_many_that_start_at_once_on_one_core_are_ready_with_nobody_there(
+    discovery: str, tmp_path: Path
+) -> None:
+    """Readiness waits for nothing that may never come: discovery down or silent, no cache that answers."""
+    programs, core = list[subprocess.Popen[str]](), min(os.sched_getaffinity(0))
+    with contextlib.ExitStack() as stack:
+        if discovery == "silent":
+            stack.enter_context(socket.create_server(COORDINATOR))
+        stack.enter_context(socket.create_server(("127.77.1.1", 15051)))  # a cache that hangs
+        try:
+            for number in range(7):
+                path = tmp_path / f"{number}.json"
+                listen, door = f"127.77.0.{10 + number}:15050", f"127.77.0.{10 + number}:19600"
+                path.write_text(json.dumps({**json.loads(CONFIG), "listen": listen, "admin": door}))
+                environment = {
+                    **os.environ,
+                    "RELAY_CONFIG": str(path),
+                    "ONYXWICK_SERVICE": str(tmp_path / "no"),
+                }
+                environment["TMPDIR"] = str(tmp_path)
+                programs.append(
+                    subprocess.Popen(
+                        [sys.executable, "-m", "onyxwick"], cwd=ROOT, env=environment, text=True,
+                        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+                        preexec_fn=lambda: os.sched_setaffinity(0, {core}),
+                    )
+                )  # fmt: skip
+            took = [_ping((f"127.77.0.{10 + number}", 15050), 10.0) for number in range(7)]
+            assert max(took) < 10.0, took
+            for number in range(7):  # the door says the same
+                with socket.create_connection((f"127.77.0.{10 + number}", 19600), PATIENCE_S) as sock:
+                    sock.sendall(b"GET /ready HTTP/1.1\r\nHost: door\r\n\r\n")
+                    assert b"200" in sock.recv(4096)
+        finally:
+            for program in programs:
+                program.terminate()
+            for program in programs:
+                assert program.wait(PATIENCE_S) == 0
+
+
 def test_classes_under_any_names_are_served(tmp_path: Path) -> None:
     """Names come from the settings alone: a whole exchange under names that nothing else knows."""
     names = ((b"site-video", b"corto-film"), (b"booking", b"pedidos"))
