A client that goes on calling no longer holds up the end of its connection

Since calls that come while a connection waits to end are refused, Client._end heard on for as long as anything waited to be written, its own refusals among it: after sixteen pieces of bad input, or without KEEP_CONN, a client that never stops calling kept the connection for good. To blame: the loop's condition in _end. Now it is heard only while an answer is owed on it, which a deadline bounds; the test was seen to fail before (no end in 3 s). A counter in accept is called what it counts.

--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -254,16 +254,14 @@
         while self.open or self.outbox.pending:
             self.answered = loop.create_future()
             until = self.answered if self.open else self.outbox.drained.wait()
-            if await self._rest(until, LOOK_S) or not self._hear():
-                return
+            if await self._rest(until, LOOK_S) or (self.open and not self._hear()):
+                return  # with nothing owed it is heard no more: else one that goes on calling would never end
         self.shut_at = self.shut_at or time.monotonic()
         with contextlib.suppress(TimeoutError, OSError):
             self.sock.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(LINGER_S):
                 while await loop.sock_recv(self.sock, 65_536):
-                    await asyncio.sleep(
-                        READ_S
-                    )  # what comes without end takes no more than a share of the core
+                    await asyncio.sleep(READ_S)  # what comes without end takes a share of the core at most
 
     def _hear(self) -> bool:
         """While it ends, aborts are heard and new calls refused; False: the client has gone."""
@@ -527,7 +525,7 @@
 
         The wait takes nothing, and what is taken is kept in the same breath: a cancel loses no client.
         """
-        loop, now, pause = asyncio.get_running_loop(), 0, 0.0
+        loop, taken, pause = asyncio.get_running_loop(), 0, 0.0
         while True:
             try:
                 self._admit(sock.accept()[0])
@@ -538,8 +536,8 @@
                 self.counters.add("error.accept")
                 log.warning("accept failed", error=str(error))
                 pause = ACCEPT_PAUSE_S
-            now += 1
-            if pause or now % ACCEPT_TURN == 0:  # a crowd at the door leaves the others their turn
+            taken += 1
+            if pause or taken % ACCEPT_TURN == 0:  # a crowd at the door leaves the others their turn
                 await asyncio.sleep(pause)
                 pause = 0.0
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -527,6 +527,30 @@
     played(play)
 
 
+def test_a_client_that_goes_on_calling_does_not_hold_up_the_end_of_its_connection() -> None:
+    async def play(ground: Ground) -> None:
+        ground.script.arrived = lambda request: [i.Refuse(request)]
+        sock, loop = await ground.client(), asyncio.get_running_loop()
+        ground.tasks.append(loop.create_task(ground.front.sweep()))
+        sock.send(call(1, keep=False))
+
+        async def flood() -> None:
+            for n in range(1_000_000):
+                with contextlib.suppress(BlockingIOError):
+                    sock.send(call(2 + n % 30, f"{n:016x}"))
+                await asyncio.sleep(0)
+
+        flooding = loop.create_task(flood())
+        ground.tasks.append(flooding)
+        with contextlib.suppress(OSError):  # reset in the end, as it never stops
+            async with asyncio.timeout(3.0):
+                while await loop.sock_recv(sock, 65_536):
+                    pass
+        await ground.until(lambda: not ground.front.clients)
+
+    played(play)
+
+
 def test_an_end_is_written_behind_the_answer_and_what_still_comes_is_read() -> None:
     """A close over unread bytes would reset the connection and take the answer along."""
 
