--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -11,6 +11,7 @@
 from onyxwick.cli import Unusable
 from onyxwick.cli.faults import faults, path_argument
 from onyxwick.cli.remote import json_option
+from onyxwick.cli.scale import scale
 
 
 @click.group()
@@ -272,3 +273,4 @@
 
 
 lab.add_command(faults)
+lab.add_command(scale)
--- /dev/null
+++ b/onyxwick/cli/scale.py
@@ -0,0 +1,89 @@
+"""`onyxwick lab scale`: slopes, a fleet of hollow directors, and the capacity page's tables."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+
+from onyxwick.cli import Unusable
+
+path_option = click.Path(path_type=Path)
+
+
+@click.group()
+def scale() -> None:
+    """Capacity at size: measured slopes, a hollow fleet, and the model over them."""
+
+
+@scale.command()
+@click.argument("names", nargs=-1)
+@click.option("--repeats", type=click.IntRange(1, 50), help="Of each size; each sweep has its own default.")
+@click.option("--out", type=path_option, help="The JSON file; printed without it.")
+@click.option("--plot", type=path_option, help="A PNG of points and lines.")
+@click.option("--table", is_flag=True, help="Print the fits as a table.")
+def slopes(
+    names: tuple[str, ...], repeats: int | None, out: Path | None, plot: Path | None, table: bool
+) -> None:
+    """Measure the sweeps NAMES (all without any), each over five sizes and more, and fit lines."""
+    from onyxwick.lab.scale import slopes as measured
+
+    try:
+        chosen = measured.by_name(names)
+    except KeyError as error:
+        raise Unusable(str(error.args[0])) from None
+    result = measured.run(chosen, repeats, lambda text: click.echo(text, err=True))
+    if out is not None:
+        out.write_text(json.dumps(result, indent=1) + "\n")
+    if plot is not None:
+        measured.plot(result, plot)
+    if table:
+        click.echo(measured.table(result))
+    elif out is None:
+        click.echo(json.dumps(result))
+
+
+@scale.command()
+@click.option("--shape", type=click.Choice(["tree", "single"]), default="tree", show_default=True)
+@click.option("--directors", type=click.IntRange(1, 2000), default=1000, show_default=True)
+@click.option("--regions", type=click.IntRange(1, 8), default=3, show_default=True, help="Two relays each.")
+@click.option("--hosts", type=click.IntRange(1, 64), default=6, show_default=True, help="Their processes.")
+@click.option("--caches", type=click.IntRange(1, 1000), default=190, show_default=True)
+@click.option("--seconds", type=click.FloatRange(2, 3600), default=60.0, show_default=True)
+@click.option("--purges", type=click.FloatRange(0, 1000), default=21.0, show_default=True, help="A second.")
+@click.option(
+    "--changes", type=click.IntRange(0, 10_000), default=650, show_default=True, help="In ten bursts."
+)
+@click.option(
+    "--fault",
+    type=click.Choice(["none", "kill", "pause", "restart", "cut"]),
+    default="none",
+    show_default=True,
+    help="At a third of the time.",
+)
+@click.option(
+    "--cut", "cut_s", type=click.FloatRange(0, 3600), default=20.0, show_default=True, help="Seconds."
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--slot", type=click.IntRange(0, 50), default=0, help="Keeps apart what runs at once.")
+def fleet(
+    shape: str, directors: int, regions: int, hosts: int, caches: int, seconds: float, purges: float,
+    changes: int, fault: str, cut_s: float, seed: int, slot: int,
+) -> None:  # fmt: skip
+    """Hollow directors under a publisher's events; exit 1 where an event was lost, repeated or disordered."""
+    import uvloop
+
+    from onyxwick.lab.scale.fleet import Fleet, FleetPlan
+    from onyxwick.lab.scale.hollow import Shape
+
+    told = FleetPlan(
+        shape=Shape(shape), directors=directors, regions=regions, hosts=hosts, caches=caches, seconds=seconds,
+        purges_per_s=purges, changes=changes, fault=fault, cut_s=cut_s, seed=seed, slot=slot,
+    )  # fmt: skip
+    report = uvloop.run(Fleet(told, lambda text: click.echo(text, err=True)).run())
+    click.echo(json.dumps(report))
+    if report["starved"]:
+        click.echo("the machine was short of cores: no verdict on times", err=True)
+    if report["lost"] or report["disordered"] or report["settled_s"] is None:
+        raise click.exceptions.Exit(1)
--- /dev/null
+++ b/onyxwick/lab/scale/fleet.py
@@ -0,0 +1,532 @@
+"""A thousand hollow directors, a real distribution tree before them, and what happens to both.
+
+All on loopback: the publisher and the relays are real processes, directors live many in a process, the
+uplinks of each region's relays pass through the lab's relays of links, where they are cut.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import multiprocessing
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import asdict, dataclass, field
+from multiprocessing.connection import Connection as Pipe
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import ujson
+
+from onyxwick.config.address import Address, written
+from onyxwick.distribution.codec import encode_event
+from onyxwick.distribution.documents import split
+from onyxwick.distribution.model import Cursor
+from onyxwick.distribution.tree import TreeLimits, plan
+from onyxwick.lab.faults.relay import Relay as LinkRelay
+from onyxwick.lab.faults.relay import Way
+from onyxwick.lab.scale.hollow import DOCUMENTS, HostSpec, Kind, Shape, coordinator_main, host_main
+from onyxwick.lab.scale.processes import cpu_s, reachable, resident_kb
+from onyxwick.lab.scale.sweeps import CONFIG, rows
+
+SETTLE_S = 20.0
+STATUS_S = 0.2
+START_S = 60.0
+STARVED_SHARE, STARVED_LAG_MS = 0.92, 100.0
+RELAYS_OF_A_REGION = 2
+FAULTS = ("none", "kill", "pause", "restart", "cut")
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What is run. `fault` happens at a third of the time; `cut_s`: how long a region is cut, a relay paused
+    or gone."""
+
+    shape: Shape = Shape.TREE
+    directors: int = 1000
+    regions: int = 3
+    hosts: int = 6
+    caches: int = 190
+    seconds: float = 60.0
+    purges_per_s: float = 21.0
+    list_changes_per_s: float = 0.5
+    changes: int = 650
+    bursts: int = 10
+    change_bytes: int = 500
+    requests_per_s: float = 0.05
+    fault: str = "none"
+    cut_s: float = 20.0
+    slot: int = 0
+    seed: int = 1
+
+
+@dataclass
+class _Node:
+    """A process of the distribution tree."""
+
+    name: str
+    listen: Address
+    file: Path
+    out: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        with self.out.open("ab") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "onyxwick", "distribution", "run", str(self.file)],
+                stdout=out, stderr=subprocess.DEVNULL,
+            )  # fmt: skip
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        if self.process is None:
+            return
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            self.process.wait(15)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+    def status(self) -> dict[str, Any]:
+        """The last status that it printed."""
+        lines = [line for line in self.out.read_text().splitlines() if line.startswith('{"name"')]
+        return dict(ujson.loads(lines[-1])) if lines else {}
+
+
+@dataclass
+class _Child:
+    """A process of the lab with a pipe."""
+
+    process: multiprocessing.process.BaseProcess
+    pipe: Pipe
+
+    async def ask(self, word: str, argument: Any = None) -> Any:
+        """One command and its answer."""
+        self.pipe.send((word, argument))
+        return await asyncio.to_thread(self.pipe.recv)
+
+    def end(self) -> None:
+        with suppress(OSError):
+            self.pipe.send(("stop", None))
+        self.process.join(15)
+        if self.process.is_alive():
+            self.process.terminate()
+            self.process.join(5)
+
+
+@dataclass
+class Published:
+    """When each event was published, by the monotonic clock."""
+
+    purges: list[int] = field(default_factory=list)
+    lists: list[int] = field(default_factory=list)
+    documents: list[int] = field(default_factory=list)
+
+
+class Fleet:
+    """One run; `progress` is told what goes on."""
+
+    def __init__(self, told: FleetPlan, progress: Callable[[str], None]) -> None:
+        self.plan, self.progress = told, progress
+        self.rng = random.Random(told.seed)
+        self.folder = Path(tempfile.mkdtemp(prefix="onyxwick-scale-"))
+        self.base = f"127.{150 + told.slot}"
+        self.feed: Address = (f"{self.base}.0.1", 7070)
+        self.context = multiprocessing.get_context("spawn")
+        self.nodes: dict[str, _Node] = {}
+        self.regions = [f"g{n}" for n in range(told.regions)]
+        self.ways = {region: Way(region, "core") for region in self.regions}
+        self.links: list[LinkRelay] = []
+        self.hosts: list[_Child] = []
+        self.coordinator: _Child | None = None
+        self.full: subprocess.Popen[bytes] | None = None
+        self.index = 0
+        self.published = Published()
+        self.lags: list[float] = []
+
+    # ---- setting up -----------------------------------------------------------------------------------
+
+    def _spawn(self, target: Callable[..., None], *arguments: Any) -> _Child:
+        ours, theirs = self.context.Pipe()
+        process = self.context.Process(target=target, args=(*arguments, theirs), daemon=True)
+        process.start()
+        theirs.close()
+        return _Child(process, ours)
+
+    def _node(self, name: str, number: int, fields: str) -> _Node:
+        listen = (f"{self.base}.1.{number + 1}", 7400)
+        head = f'  name = "{name}"\n  listen = "{written(listen)}"\n  width = 2048\n'
+        text = f"distribution {{\n{head}{fields}\n}}\n"
+        file = self.folder / f"{name}.hcl"
+        file.write_text(text)
+        node = self.nodes[name] = _Node(name, listen, file, self.folder / f"{name}.out")
+        return node
+
+    async def _uplink(self, region: str, number: int, target: Address) -> Address:
+        """An address over which a region reaches a node outside it."""
+        listen = (f"{self.base}.2.{number + 1}", 7400 + len(self.links))
+        link = LinkRelay(self.ways[region], listen, target, self.rng)
+        await link.start()
+        self.links.append(link)
+        return listen
+
+    async def _start_tree(self) -> None:
+        root = self._node(
+            "root", 0,
+            f'  role = "publisher"\n  coordinator = "{written(self.feed)}"\n  store = "store"\n'
+            '  bulk_bytes_per_s = 8000',
+        )  # fmt: skip
+        root.start()
+        await reachable(root.listen)
+        number = 0
+        for region in self.regions:
+            for _ in range(RELAYS_OF_A_REGION):
+                number += 1
+                parents = [await self._uplink(region, number, root.listen)]
+                if number > 1:
+                    other = self.nodes[f"relay-{self.rng.randrange(1, number)}"]
+                    parents.append(await self._uplink(region, number, other.listen))
+                listed = ", ".join(f'"{written(parent)}"' for parent in parents)
+                node = self._node(f"relay-{number}", number, f'  role = "relay"\n  parents = [{listed}]')
+                node.start()
+                await reachable(node.listen)
+
+    def _parents(self) -> dict[int, tuple[Address, ...]]:
+        """Each director's parents: in its region, by the tree's own plan."""
+        out: dict[int, tuple[Address, ...]] = {}
+        if self.plan.shape is Shape.SINGLE:
+            return {number: (self.feed,) for number in range(self.plan.directors)}
+        for place in range(len(self.regions)):
+            first = place * RELAYS_OF_A_REGION + 1
+            relays = [f"relay-{n}" for n in range(first, first + RELAYS_OF_A_REGION)]
+            numbers = range(place, self.plan.directors, len(self.regions))
+            names = {f"d{n}": n for n in numbers}
+            tree = plan("root", relays, list(names), TreeLimits(width=2048))
+            for name, number in names.items():
+                out[number] = tuple(self.nodes[parent].listen for parent in tree[name])
+        return out
+
+    def _start_hosts(self) -> None:
+        parents = self._parents()
+        for host in range(self.plan.hosts):
+            mine = {n: parents[n] for n in parents if n % self.plan.hosts == host}
+            spec = HostSpec(self.plan.shape, mine, self.plan.requests_per_s)
+            self.hosts.append(self._spawn(host_main, spec))
+
+    async def _start_full(self) -> None:
+        """One whole director under the same events."""
+        listen = (f"{self.base}.3.1", 5050)
+        told = ujson.loads(CONFIG.read_text()) | {
+            "listen": written(listen),
+            "coordinator": written(self.feed),
+            "known": {"index": 0, "updates": []},
+        }
+        (self.folder / "director.json").write_text(json.dumps(told))
+        service = self.folder / "service.hcl"
+        if self.plan.shape is Shape.TREE:
+            parents = ", ".join(f'"{written(self.nodes[f"relay-{n}"].listen)}"' for n in (1, 2))
+            service.write_text(f"distribution {{\n  parents = [{parents}]\n}}\n")
+        names = {"RELAY_CONFIG": str(self.folder / "director.json"), "ONYXWICK_SERVICE": str(service)}
+        self.full = subprocess.Popen(
+            [sys.executable, "-m", "onyxwick"], env={**os.environ, **names},
+            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+        )  # fmt: skip
+        await reachable(listen)
+
+    # ---- events ---------------------------------------------------------------------------------------
+
+    def _tell(self, payload: dict[str, Any]) -> None:
+        self.index += 1
+        assert self.coordinator is not None
+        line = ujson.dumps({"index": self.index, **payload}, escape_forward_slashes=False)
+        self.coordinator.pipe.send(("tell", line.encode() + b"\n"))
+
+    def _purge(self) -> None:
+        now = time.monotonic_ns()
+        self.published.purges.append(now)
+        self._tell({"evict": {"ref": f"{now:016x}", "unix_ms": time.time_ns() // 1_000_000}})
+
+    def _change_list(self) -> None:
+        now = time.monotonic_ns() // 1000 * 1000
+        self.published.lists.append(now)
+        row = self.rng.choice(rows(self.plan.caches)[2:]) | {"started_ms": time.time_ns() // 1_000_000}
+        self._tell({"endpoints": {"version": now // 1000, "full": False, "servers": [row]}})
+
+    def _change_document(self) -> None:
+        now = time.monotonic_ns()
+        self.published.documents.append(now)
+        head = ujson.dumps({"published_ns": now, "pad": ""})
+        text = ujson.dumps({"published_ns": now, "pad": "x" * max(0, self.plan.change_bytes - len(head))})
+        name = f"doc-{len(self.published.documents) % DOCUMENTS}"
+        for part in split(name, len(self.published.documents), text):
+            line = encode_event(Cursor(0, 0), part).line
+            self._tell({"document": ujson.loads(line)["document"]})
+
+    async def _publish(self, seconds: float) -> None:
+        """Purges and list changes at random times, documents in bursts."""
+        begin = time.monotonic()
+        kinds = [(self.plan.purges_per_s, self._purge), (self.plan.list_changes_per_s, self._change_list)]
+        due = [(self.rng.expovariate(rate), rate, act) for rate, act in kinds if rate > 0]
+        bursts = [(n + 0.5) * seconds / self.plan.bursts for n in range(self.plan.bursts)]
+        changes = self.plan.changes // max(1, self.plan.bursts) if self.plan.shape is Shape.TREE else 0
+        while True:
+            now = time.monotonic() - begin
+            if now >= seconds:
+                return
+            while bursts and now >= bursts[0]:
+                bursts.pop(0)
+                for _ in range(changes):
+                    self._change_document()
+            for place, (at, rate, act) in enumerate(due):
+                if now >= at:
+                    act()
+                    due[place] = (at + self.rng.expovariate(rate), rate, act)
+            wait = min(0.01, max(0.0005, min(at for at, _, _ in due) - now)) if due else 0.01
+            asked = time.monotonic()
+            await asyncio.sleep(wait)
+            self.lags.append((time.monotonic() - asked - wait) * 1e3)
+
+    # ---- faults ---------------------------------------------------------------------------------------
+
+    async def _fault(self, seconds: float) -> None:
+        await asyncio.sleep(seconds / 3)
+        kind, relay = self.plan.fault, self.nodes.get("relay-1")
+        self.progress(f"fault: {kind}")
+        if kind == "restart":
+            chosen = {n for n in range(self.plan.directors) if n % 5 == 0}
+            await asyncio.gather(*(host.ask("restart", chosen) for host in self.hosts))
+        elif kind == "cut":
+            await self._cut()
+        elif kind in ("kill", "pause") and relay is not None and relay.process is not None:
+            relay.signal(signal.SIGKILL if kind == "kill" else signal.SIGSTOP)
+            await asyncio.sleep(self.plan.cut_s)
+            if kind == "pause":
+                relay.signal(signal.SIGCONT)
+            else:
+                relay.process.wait()
+                relay.start()
+        self.progress("fault is over")
+
+    async def _cut(self) -> None:
+        way = self.ways[self.regions[0]]
+        way.cut_there = way.cut_back = True
+        way.changed()
+        await asyncio.sleep(self.plan.cut_s)
+        way.cut_there = way.cut_back = False
+        way.changed()
+
+    # ---- the run --------------------------------------------------------------------------------------
+
+    async def _places(self) -> list[int]:
+        rows_of_hosts = await asyncio.gather(*(host.ask("place") for host in self.hosts))
+        return [place for row in rows_of_hosts for place in row]
+
+    async def _converged(self, seconds: float, numbers: int) -> float | None:
+        """Seconds until all directors are at one place with so many events; None if they are not in time."""
+        begin = time.monotonic()
+        while time.monotonic() - begin < seconds:
+            places = await self._places()
+            if len(set(places)) == 1 and places[0] & 0xFFFFFFFF >= numbers:
+                return time.monotonic() - begin
+            await asyncio.sleep(0.05)
+        return None
+
+    async def run(self) -> dict[str, Any]:
+        """Set up, publish, break, settle, judge; whatever was started has ended when it returns."""
+        try:
+            return await self._run()
+        finally:
+            self._end()
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def _run(self) -> dict[str, Any]:
+        self.coordinator = self._spawn(coordinator_main, self.feed)
+        await reachable(self.feed)
+        self._tell({"endpoints": {"version": 0, "full": True, "servers": rows(self.plan.caches)}})
+        if self.plan.shape is Shape.TREE:
+            await self._start_tree()
+        self._start_hosts()
+        await self._start_full()
+        started = await self._converged(START_S, 1)
+        if started is None:
+            raise RuntimeError("the fleet did not come up")
+        self.progress(f"{self.plan.directors} directors follow; publishing for {self.plan.seconds:g} s")
+        await asyncio.sleep(2.0)
+        before, used = await self._spent(), _machine_busy()
+        begin = time.monotonic()
+        fault = asyncio.create_task(self._fault(self.plan.seconds))
+        await self._publish(self.plan.seconds)
+        after, busy = await self._spent(), _machine_busy()
+        elapsed = time.monotonic() - begin
+        await fault
+        settled = await self._converged(SETTLE_S, self.index if self.plan.shape is Shape.SINGLE else 1)
+        reports = [await host.ask("report") for host in self.hosts]
+        return self._judge(
+            reports, before, after, elapsed, (busy[0] - used[0]) / (busy[1] - used[1]), settled
+        )
+
+    async def _spent(self) -> dict[str, float]:
+        """Processor seconds of each process so far, and bytes sent."""
+        out = {"hosts": 0.0}
+        for host in self.hosts:
+            out["hosts"] += (await host.ask("cpu"))[0]
+        assert self.coordinator is not None
+        out["coordinator"] = (await self.coordinator.ask("cpu"))[0]
+        for node in self.nodes.values():
+            if node.process is not None and node.process.poll() is None:
+                out[node.name] = cpu_s(node.process.pid)
+                node.signal(signal.SIGUSR1)
+        if self.full is not None:
+            out["full"] = cpu_s(self.full.pid)
+        await asyncio.sleep(STATUS_S)
+        out["sent_bytes"] = self._sent_bytes()
+        return out
+
+    def _judge(
+        self,
+        reports: list[dict[str, Any]],
+        before: dict[str, float],
+        after: dict[str, float],
+        elapsed: float,
+        busy: float,
+        settled: float | None,
+    ) -> dict[str, Any]:
+        lag = float(np.percentile(self.lags, 99)) if self.lags else 0.0
+        starved = busy > STARVED_SHARE or lag > STARVED_LAG_MS
+        share = {n: (after[n] - before[n]) / elapsed for n in after if n in before and n != "sent_bytes"}
+        seen = _Seen(reports)
+        grown = sum(r["resident_kb"] - r["empty_kb"] for r in reports) / self.plan.directors
+        out: dict[str, Any] = {
+            "plan": {**asdict(self.plan), "shape": self.plan.shape.value},
+            "starved": starved, "machine_busy": round(busy, 3), "lag_p99_ms": round(lag, 2),
+            "published": {kind: len(times) for kind, times in asdict(self.published).items()},
+            "lost": seen.lost(self.published.purges), "disordered": sum(r["disordered"] for r in reports),
+            "settled_s": settled,
+            "delay_ms": {kind.name.lower(): seen.delays(kind) for kind in Kind},
+            "cores": {name: round(value, 4) for name, value in share.items()},
+            "core_share_a_director": round(share["hosts"] / self.plan.directors, 6),
+            "full_director_share": round(share.get("full", 0.0), 6),
+            "memory_kb_a_director": round(grown, 1),
+            "full_director_kb": round(resident_kb(self.full.pid)) if self.full is not None else 0,
+            "largest_tables": _largest(reports),
+            "follower": _summed(reports, "follower"), "counts": _summed(reports, "counts"),
+        }  # fmt: skip
+        if self.plan.shape is Shape.TREE:
+            out["nodes"] = [_short(node.status()) for node in self.nodes.values()]
+            out["bytes_per_s_a_director"] = round(
+                (after["sent_bytes"] - before["sent_bytes"]) / elapsed / self.plan.directors, 1
+            )
+        if self.plan.fault == "restart":
+            out["restarted_first_purge_ms"] = seen.after_restart()
+        return out
+
+    def _sent_bytes(self) -> int:
+        """What all relays have sent, by their last status; one that was killed counts from its new start."""
+        sent = 0
+        for node in self.nodes.values():
+            status = node.status()
+            sent += int(status.get("sent_bytes", 0)) if status.get("role") == "relay" else 0
+        return sent
+
+    def _end(self) -> None:
+        for host in self.hosts:
+            host.end()
+        if self.full is not None:
+            self.full.terminate()
+            self.full.wait(15)
+        for node in self.nodes.values():
+            node.end()
+        if self.coordinator is not None:
+            self.coordinator.end()
+
+
+class _Seen:
+    """All directors' observations together."""
+
+    def __init__(self, reports: list[dict[str, Any]]) -> None:
+        def column(name: str, kind: str) -> Any:
+            return np.concatenate([np.frombuffer(r["observations"][name], dtype=kind) for r in reports])
+
+        self.kinds, self.directors = column("kinds", "i1"), column("directors", "i4")
+        self.published, self.delay = column("published_ns", "i8"), column("delays_ms", "f4")
+        self.since: dict[int, int] = {}
+        for report in reports:
+            self.since |= report["since_ns"]
+
+    def delays(self, kind: Kind) -> dict[str, float]:
+        """Quantiles of the time from publication to application, in milliseconds."""
+        chosen = self.delay[self.kinds == kind.value]
+        if not len(chosen):
+            return {"count": 0}
+        told = np.percentile(chosen, [50, 99, 100])
+        names = ("p50", "p99", "last")
+        return {"count": len(chosen), **{n: round(float(v), 1) for n, v in zip(names, told, strict=True)}}
+
+    def lost(self, published: list[int]) -> int:
+        """Purges that a director never applied, of those published since its start, over all directors."""
+        purges = np.array(sorted(published))
+        mask = self.kinds == Kind.PURGE.value
+        directors, times = self.directors[mask], self.published[mask]
+        lost = 0
+        for number, since in self.since.items():
+            had = np.unique(times[(directors == number) & (times >= since)])
+            lost += int(len(purges) - int(np.searchsorted(purges, since)) - len(had))
+        return lost
+
+    def after_restart(self) -> dict[str, float]:
+        """From each restarted director's start to its first event, in milliseconds."""
+        latest = min(self.since.values()) + 5_000_000_000
+        chosen = [n for n, since in self.since.items() if since > latest]
+        first = []
+        for number in chosen:
+            mask = (self.directors == number) & (self.published + self.delay * 1e6 > self.since[number])
+            applied = self.published[mask] + self.delay[mask].astype("f8") * 1e6
+            if len(applied):
+                first.append((float(applied.min()) - self.since[number]) / 1e6)
+        if not first:
+            return {"count": 0}
+        return {"count": len(first), "p50": round(float(np.median(first)), 1), "last": round(max(first), 1)}
+
+
+def _short(status: dict[str, Any]) -> dict[str, Any]:
+    """A node's status without the list of its documents."""
+    return status | {"documents": len(status.get("documents", {}))}
+
+
+def _machine_busy() -> tuple[float, float]:
+    """Processor time in use and in all, in ticks of all cores."""
+    fields = [float(word) for word in Path("/proc/stat").read_text().splitlines()[0].split()[1:9]]
+    return sum(fields) - fields[3] - fields[4], sum(fields)
+
+
+def _summed(reports: list[dict[str, Any]], name: str) -> dict[str, int]:
+    out: dict[str, int] = {}
+    for key, value in _pairs(reports, name):
+        out[key] = out.get(key, 0) + value
+    return out
+
+
+def _largest(reports: list[dict[str, Any]]) -> dict[str, int]:
+    out: dict[str, int] = {}
+    for key, value in _pairs(reports, "largest_tables"):
+        out[key] = max(out.get(key, 0), value)
+    return out
+
+
+def _pairs(reports: list[dict[str, Any]], name: str) -> Iterator[tuple[str, int]]:
+    for report in reports:
+        yield from report[name].items()
--- /dev/null
+++ b/onyxwick/lab/scale/processes.py
@@ -0,0 +1,250 @@
+"""Whole processes measured over sizes: a real director, and a real node of the distribution tree."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from pathlib import Path
+from typing import cast
+
+import ujson
+
+from onyxwick.config.address import Address, written
+from onyxwick.lab.clients import Connection
+from onyxwick.lab.machines import Coordinator
+from onyxwick.lab.scale.sweeps import CONFIG, Sweep, rows
+from onyxwick.net import resp
+
+READY_S, PATIENCE_S = 20.0, 30.0
+PAGE = os.sysconf("SC_PAGE_SIZE")
+TICK = os.sysconf("SC_CLK_TCK")
+HOST = "127.67.0.1"
+CACHE_HOST = "127.67.1.1"
+PARALLEL = 16
+LEAST_LINE = 60
+BODIES_KB = (1, 30, 60, 120, 180, 240)
+LINKED_CACHES = (4, 24, 48, 95, 190)
+FOLLOWERS = (25, 50, 100, 200, 400)
+
+
+def cpu_s(pid: int) -> float:
+    """Processor seconds of a process so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICK
+
+
+def resident_kb(pid: int) -> float:
+    """Resident memory of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE / 1024
+
+
+@contextmanager
+def process(*words: str, **environment: str) -> Iterator[subprocess.Popen[bytes]]:
+    """`python -m onyxwick WORDS`, ended with the block."""
+    running = subprocess.Popen(
+        [sys.executable, "-m", "onyxwick", *words],
+        env={**os.environ, **environment},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        yield running
+    finally:
+        running.terminate()
+        try:
+            running.wait(PATIENCE_S)
+        except subprocess.TimeoutExpired:
+            running.kill()
+            running.wait()
+
+
+async def reachable(address: Address) -> None:
+    """Returns once something listens there; TimeoutError after a while."""
+    async with asyncio.timeout(READY_S):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(*address)
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            writer.close()
+            return
+
+
+# ---- a director -----------------------------------------------------------------------------------------
+
+
+class Emulator(asyncio.Protocol):
+    """A cache that answers each request at once with a body of one size."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body, self.parser = body, resp.Parser()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast("asyncio.Transport", transport)  # uvloop's own does not inherit from it
+
+    def data_received(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.parser.buffer.feed(data)
+        for words in self.parser.messages():
+            if words[0] == b"REQ":
+                told = f"digest={'0' * 16},dated={time.time_ns() // 1_000_000},note=HIT"
+                self.transport.write(resp.command(words[1], b"data", told.encode(), self.body))
+
+
+def _configuration(caches: int, listen: Address, feed: Address, folder: Path) -> Path:
+    told = ujson.loads(CONFIG.read_text())
+    listed = [row | {"addr": f"{CACHE_HOST}:5050"} for row in rows(caches)]
+    event = {"index": 1, "endpoints": {"version": 1, "full": True, "servers": listed}}
+    told |= {
+        "listen": written(listen), "coordinator": written(feed),
+        "known": {"index": 1, "updates": [event]},
+        "limits": {"cores": 1, "memory_mb": 512, "sockets": 4096},
+    }  # fmt: skip
+    path = folder / "config.json"
+    path.write_text(json.dumps(told))
+    return path
+
+
+@asynccontextmanager
+async def _director(caches: int, body: bytes) -> AsyncIterator[tuple[int, Address]]:
+    """A real director before caches that answer at once; its process id and address."""
+    loop, listen, feed = asyncio.get_running_loop(), (HOST, 5050), (HOST, 7070)
+    coordinator = Coordinator(feed, lambda: time.time_ns() // 1000)
+    coordinator.tell(b"{}\n")  # so that the last number is the one that the configuration tells
+    await coordinator.listen()
+    server = await loop.create_server(lambda: Emulator(body), CACHE_HOST, 5050)
+    with tempfile.TemporaryDirectory() as folder:
+        path = _configuration(caches, listen, feed, Path(folder))
+        with process(RELAY_CONFIG=str(path), ONYXWICK_SERVICE=str(Path(folder) / "none")) as running:
+            await reachable(listen)
+            try:
+                yield running.pid, listen
+            finally:
+                server.close()
+                await coordinator.mute()
+
+
+async def _load(listen: Address, requests: int, rng: random.Random) -> None:
+    """Requests one after the other on each of some connections."""
+    loop = asyncio.get_running_loop()
+
+    async def one(count: int) -> None:
+        transport, connection = await loop.create_connection(lambda: Connection(True), *listen)
+        for _ in range(count):
+            _, future = connection.send(
+                {
+                    "SCRIPT_NAME": "/call/site-video", "HTTP_X_REQUEST_ID": f"{rng.getrandbits(64):016x}",
+                    "HTTP_X_TIMEOUT_MS": "4000", "HTTP_X_OBJECT": f"{rng.randrange(2000):016x}",
+                    "HTTP_X_NTH": "0", "HTTP_X_BATCH": "1",
+                }
+            )  # fmt: skip
+            await future
+        transport.close()
+
+    await asyncio.gather(*(one(requests // PARALLEL) for _ in range(PARALLEL)))
+
+
+def director_request_us(body_kb: int) -> float:
+    """Processor time of a whole director for one request with an answer of so many kB."""
+
+    async def measured() -> float:
+        rng = random.Random(body_kb)
+        async with _director(4, bytes(body_kb * 1000)) as (pid, listen):
+            await _load(listen, 400, rng)
+            begin = cpu_s(pid)
+            await _load(listen, 3_200, rng)
+            return (cpu_s(pid) - begin) / 3_200 * 1e6
+
+    return asyncio.run(measured())
+
+
+def _idle(caches: int) -> tuple[float, float]:
+    async def measured() -> tuple[float, float]:
+        async with _director(caches, b"x" * 100) as (pid, listen):
+            await _load(listen, 32 * caches + 320, random.Random(caches))
+            memory, begin, at = resident_kb(pid), cpu_s(pid), time.monotonic()
+            await asyncio.sleep(4)
+            return memory, (cpu_s(pid) - begin) / (time.monotonic() - at) * 1e3
+
+    return asyncio.run(measured())
+
+
+def director_memory_kb(caches: int) -> float:
+    """Resident memory of a director with links to so many caches."""
+    return _idle(caches)[0]
+
+
+def director_idle_ms_per_s(caches: int) -> float:
+    """Processor time a second of a director without requests that has links to so many caches."""
+    return _idle(caches)[1]
+
+
+# ---- a node of the distribution tree --------------------------------------------------------------------
+
+
+class _Reader(asyncio.Protocol):
+    """A follower that only counts bytes."""
+
+    def __init__(self) -> None:
+        self.size = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        cast("asyncio.Transport", transport).write(b"follow 0\n")
+
+    def data_received(self, data: bytes) -> None:
+        self.size += len(data)
+
+
+def node_ms_per_event(followers: int) -> float:
+    """Processor time of a node for one purge and all its followers, heartbeats included, at 100 a second."""
+    node, feed = (HOST, 7500), (HOST, 7570)
+
+    async def measured() -> float:
+        loop = asyncio.get_running_loop()
+        coordinator = Coordinator(feed, lambda: time.time_ns() // 1000)
+        await coordinator.listen()
+        text = (
+            f'distribution {{\n name = "n"\n role = "publisher"\n listen = "{written(node)}"\n width = 4096\n'
+            f' admitted_per_s = 10000\n coordinator = "{written(feed)}"\n}}\n'
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.hcl"
+            path.write_text(text)
+            with process("distribution", "run", str(path)) as running:
+                await reachable(node)
+                pairs = [await loop.create_connection(_Reader, *node) for _ in range(followers)]
+                await asyncio.sleep(1.0)
+                begin = cpu_s(running.pid)
+                for n in range(300):
+                    purge = {"ref": f"{n:016x}", "unix_ms": time.time_ns() // 1_000_000}
+                    coordinator.tell(json.dumps({"index": n + 1, "evict": purge}).encode() + b"\n")
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.3)
+                spent = cpu_s(running.pid) - begin
+                least = min(reader.size for _, reader in pairs)
+                for transport, _ in pairs:
+                    transport.abort()
+        await coordinator.mute()
+        if least < 300 * LEAST_LINE:
+            raise RuntimeError(f"a follower was sent {least} bytes for 300 events")
+        return spent / 300 * 1e3
+
+    return asyncio.run(measured())
+
+
+SWEEPS = (
+    Sweep("director_request_us", "kB of an answer", "us a request", BODIES_KB, director_request_us, 3),
+    Sweep("director_memory_kb", "caches linked", "kB", LINKED_CACHES, director_memory_kb, 2),
+    Sweep("director_idle_ms_per_s", "caches linked", "ms a second", LINKED_CACHES, director_idle_ms_per_s, 2),
+    Sweep("node_ms_per_event", "followers", "ms an event", FOLLOWERS, node_ms_per_event, 3),
+)
--- /dev/null
+++ b/onyxwick/lab/scale/size.py
@@ -0,0 +1,148 @@
+"""The size that capacity is reckoned for: its drivers, and what follows from them by arithmetic."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, fields, replace
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+from onyxwick.config import hcl
+from onyxwick.config.errors import ConfigError
+from onyxwick.config.fields import Fields
+
+DAY_S = 86_400
+COUNT_MEMORY_S = 33.2
+"""How long one read stays counted: counts halve every 10 s and are dropped under 0.1."""
+P99_NORMAL = 2.326
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """The drivers. Told by the operators unless the name is in `ASSUMED`."""
+
+    directors: int = 1000
+    sites: int = 83
+    caches: int = 190
+    requests_per_s: float = 920_000.0
+    bits_per_s: float = 1.7e12
+    objects: float = 320e6
+    purges_per_s: float = 21.0
+    group_purge_share: float = 0.05
+    changes_per_day: float = 650.0
+    change_bytes: float = 2_000.0
+    changes_in_a_burst: float = 20.0
+    regions: int = 27
+    zones: int = 95
+    restarts_per_day: float = 110.0
+    machine_failures_per_day: float = 4.0
+    release_hours: float = 4.0
+    control_machines: int = 14
+    directors_spread: float = 0.6
+    site_exponent: float = 0.5
+    popularity_exponent: float = 0.9
+    counted_share: float = 1.0
+    links_per_cache: int = 2
+    document_bytes: float = 50_000.0
+
+    def times(self, factor: float) -> Size:
+        """The same with everything that grows with the business grown by a factor."""
+        grown: dict[str, Any] = {
+            name: type(getattr(self, name))(getattr(self, name) * factor) for name in GROWING
+        }
+        return replace(self, **grown)
+
+    @property
+    def directors_at_largest_site(self) -> int:
+        """Of sites whose sizes fall by the power law `site_exponent`; one at least at each."""
+        return math.ceil(self.directors * self._largest_share)
+
+    @property
+    def caches_at_largest_site(self) -> int:
+        """As for directors."""
+        return math.ceil(self.caches * self._largest_share)
+
+    @property
+    def _largest_share(self) -> float:
+        weights = [float(math.pow(rank, -self.site_exponent)) for rank in range(1, self.sites + 1)]
+        return weights[0] / sum(weights)
+
+    @property
+    def requests_per_director(self) -> float:
+        """Mean of all directors, requests a second."""
+        return self.requests_per_s / self.directors
+
+    @property
+    def p99_over_mean(self) -> float:
+        """Of directors' traffic, where it is spread log-normally by `directors_spread`."""
+        return math.exp(P99_NORMAL * self.directors_spread - self.directors_spread**2 / 2)
+
+    @property
+    def request_bytes(self) -> float:
+        """Mean bytes of an answer."""
+        return self.bits_per_s / 8 / self.requests_per_s
+
+    def objects_counted(self, requests_per_s: float) -> float:
+        """Distinct objects that a director counts at once.
+
+        Expected number of distinct draws out of a Zipf law over all objects, in pieces of its ranks.
+        """
+        draws = requests_per_s * self.counted_share * COUNT_MEMORY_S
+        edges = [1.1**k for k in range(int(math.log(self.objects, 1.1)) + 1)] + [self.objects]
+        pieces = [(low, high) for low, high in pairwise(edges) if high > low]
+        weights = [(high - low) * ((low + high) / 2) ** -self.popularity_exponent for low, high in pieces]
+        total = sum(weights)
+        out = 0.0
+        for (low, high), weight in zip(pieces, weights, strict=True):
+            each = weight / total / (high - low)
+            out += (high - low) * -math.expm1(-draws * each)
+        return out
+
+    @property
+    def list_changes_per_hour(self) -> float:
+        """Rows of the list that change: restarts and failures (gone and back), and a rolling release."""
+        daily = 2 * (self.restarts_per_day + self.machine_failures_per_day) / 24
+        return daily + 3 * self.caches / self.release_hours
+
+    @property
+    def changes_per_s_in_burst(self) -> float:
+        """Configuration changes in a burst, spread over the 5 s in which they have to be in force."""
+        return self.changes_in_a_burst / 5
+
+
+ASSUMED = {
+    "group_purge_share": "share of purges that name a group",
+    "change_bytes": "bytes of a configuration change, as a document's text",
+    "changes_in_a_burst": "changes at once",
+    "release_hours": "a rolling release of all caches",
+    "directors_spread": "sigma of directors' log-normal traffic (as `lab ramp` has it)",
+    "site_exponent": "power law of sites' sizes",
+    "popularity_exponent": "Zipf exponent of objects",
+    "counted_share": "requests that count an object (1: none is a later part of one)",
+    "links_per_cache": "connections of a director to one cache it uses",
+    "document_bytes": "all documents of an installation that a director holds",
+}
+GROWING = (
+    "directors", "caches", "requests_per_s", "bits_per_s", "objects", "purges_per_s", "changes_per_day",
+    "changes_in_a_burst", "restarts_per_day", "machine_failures_per_day", "document_bytes",
+)  # fmt: skip
+
+
+def read(path: Path) -> Size:
+    """A size from an HCL file: a block `size` with any of the drivers; ConfigError names file and line."""
+    top = Fields(hcl.read(path), path.name)
+    row = top.block_of("size")
+    if row is None:
+        raise ConfigError(f"{path.name}: block 'size' is missing")
+    size = Size()
+    told: dict[str, Any] = {}
+    for each in fields(Size):
+        default = getattr(size, each.name)
+        if isinstance(default, int):
+            told[each.name] = row.whole(each.name, 1, 10**9, default)
+        else:
+            told[each.name] = row.number(each.name, 0, 1e18, default)
+    row.done()
+    top.done()
+    return replace(size, **told)
--- /dev/null
+++ b/onyxwick/lab/scale/small.py
@@ -0,0 +1,173 @@
+"""A small tree with hollow directors in one event loop: counts, bytes and sizes, in seconds, for CI."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from onyxwick.config.address import Address
+from onyxwick.config.distribution import NodeConfig, Role
+from onyxwick.core.engine import unix_us
+from onyxwick.distribution.admission import AdmissionLimits
+from onyxwick.lab.machines import Coordinator
+from onyxwick.lab.scale.hollow import HollowDirector, Observations, Shape
+from onyxwick.lab.scale.sweeps import rows
+from onyxwick.net.distribution_node import Relay, Root
+
+PATIENCE_S = 20.0
+LOOK_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class SmallPlan:
+    """Sizes of a small run: `events` purges, a tenth as many changes of one row, `objects` asked for."""
+
+    directors: int = 6
+    relays: int = 2
+    caches: int = 12
+    events: int = 40
+    objects: int = 50
+    slot: int = 0
+
+
+@dataclass
+class SmallReport:
+    """What was counted. `lines`: delivered events in all; `tables`: the largest of each kind at a director;
+    `unsent_bytes`: most bytes that a node held for one subscriber that read nothing."""
+
+    plan: SmallPlan
+    lines: int = 0
+    sent_bytes: int = 0
+    unsent_bytes: int = 0
+    tables: dict[str, int] = field(default_factory=dict)
+
+
+def node_config(name: str, role: Role, listen: Address, *parents: Address) -> NodeConfig:
+    """A node's configuration with the defaults of its reader."""
+    return NodeConfig(
+        name, role, listen, tuple(parents), 256, AdmissionLimits(per_s=1_000), 60_000, 1e6, None, ()
+    )
+
+
+class SmallTree:
+    """The tree and its directors; `director` makes one (a planted fault makes another)."""
+
+    def __init__(
+        self,
+        told: SmallPlan,
+        director: Callable[[int, Shape, list[Address], Observations], HollowDirector] = HollowDirector,
+    ) -> None:
+        self.plan = told
+        base = f"127.{210 + told.slot}.0"
+        self.feed = Coordinator((f"{base}.1", 7070), unix_us)
+        root_at = (f"{base}.2", 7400)
+        self.root = Root(node_config("root", Role.PUBLISHER, root_at, self.feed.address))
+        addresses = [(f"{base}.{n + 3}", 7400) for n in range(told.relays)]
+        self.relays = [
+            Relay(node_config(f"relay-{n}", Role.RELAY, address, root_at))
+            for n, address in enumerate(addresses)
+        ]
+        self.observations = Observations()
+        self.directors = [
+            director(
+                n,
+                Shape.TREE,
+                [addresses[n % told.relays], addresses[(n + 1) % told.relays]],
+                self.observations,
+            )
+            for n in range(told.directors)
+        ]
+        self.index = 0
+
+    def tell(self, payload: dict[str, Any]) -> None:
+        """Publish one event at the coordinator."""
+        self.index += 1
+        self.feed.tell(json.dumps({"index": self.index, **payload}).encode() + b"\n")
+
+    def purge(self) -> None:
+        """Publish a purge that carries its time."""
+        self.tell({"evict": {"ref": f"{time.monotonic_ns():016x}", "unix_ms": unix_us() // 1000}})
+
+    def change(self, number: int) -> None:
+        """Publish a change of one row."""
+        row = rows(self.plan.caches)[2 + number % self.plan.caches] | {"started_ms": number}
+        version = time.monotonic_ns() // 1000
+        self.tell({"endpoints": {"version": version, "full": False, "servers": [row]}})
+
+    async def until(self, true: Callable[[], bool]) -> None:
+        """Wait for a condition; TimeoutError after a while."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not true():
+                await asyncio.sleep(LOOK_S)
+
+    def converged(self, events: int) -> bool:
+        """Are all directors at the publisher's cursor, with so many events in it at least?"""
+        cursor = self.root.replica.cursor
+        return cursor.number >= events and all(d.place == cursor.packed for d in self.directors)
+
+    async def run(self, stuck: bool = False) -> SmallReport:
+        """Publish all events, wait until each director has them; with `stuck` a subscriber reads nothing."""
+        report = SmallReport(self.plan)
+        await self.feed.listen()
+        self.tell({"endpoints": {"version": 0, "full": True, "servers": rows(self.plan.caches)}})
+        nodes = [asyncio.create_task(self.root.run())]
+        nodes += [asyncio.create_task(relay.run()) for relay in self.relays]
+        writer: asyncio.StreamWriter | None = None
+        try:
+            await self.until(lambda: self.root.replica.cursor.number >= 1)
+            for director in self.directors:
+                director.start()
+            await self.until(lambda: self.converged(1))
+            if stuck:
+                writer = await self._stuck()
+            await self._publish(report)
+        finally:
+            await self._close(nodes, writer)
+        report.lines = len(self.observations.kinds)
+        report.sent_bytes = sum(relay.server.sent_bytes for relay in self.relays)
+        for director in self.directors:
+            for name, size in director.tables().items():
+                report.tables[name] = max(report.tables.get(name, 0), size)
+        return report
+
+    async def _stuck(self) -> asyncio.StreamWriter:
+        reader, writer = await asyncio.open_connection(*self.relays[0].config.listen, limit=64)
+        writer.write(b"follow 0\n")
+        await reader.readline()  # from here on the stream's own small limit stops reading
+        return writer
+
+    async def _publish(self, report: SmallReport) -> None:
+        for number in range(self.plan.events):
+            self.purge()
+            if number % 10 == 0:
+                self.change(number)
+            await asyncio.sleep(0)
+        for number in range(self.plan.objects):
+            for director in self.directors:
+                await director.ask(f"{number:016x}", number)
+        total = 1 + self.plan.events + (self.plan.events + 9) // 10
+        await self.until(lambda: self.converged(total))
+        sizes = [c.unsent_bytes() for relay in self.relays for c in relay.server.connections]
+        report.unsent_bytes = max(sizes, default=0)
+
+    async def _close(self, nodes: list[asyncio.Task[None]], writer: asyncio.StreamWriter | None) -> None:
+        if writer is not None:
+            writer.transport.abort()
+        await asyncio.gather(*(director.stop() for director in self.directors))
+        for task in nodes:
+            task.cancel()
+        await asyncio.gather(*nodes, return_exceptions=True)
+        await self.feed.mute()
+
+
+def small(told: SmallPlan) -> SmallReport:
+    """One small run in an event loop of its own."""
+
+    async def main() -> SmallReport:
+        return await SmallTree(told).run()
+
+    return asyncio.run(main())
--- /dev/null
+++ b/onyxwick/lab/scale/sweeps.py
@@ -0,0 +1,292 @@
+"""What is measured over five sizes and more: the cost of one thing as its driver grows, in this process.
+
+Each function sets up one case of a size and returns the figure for it. Clocks are made up; processor time and
+memory are real. Whole processes are measured in `processes.py`.
+"""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from onyxwick import interface as i
+from onyxwick.core import Core, Order, Outcome
+from onyxwick.core.members import Members
+from onyxwick.counters import Counters
+from onyxwick.distribution.codec import encode_event
+from onyxwick.distribution.durable import DurableFeed
+from onyxwick.distribution.model import Cursor, PurgeEvent, PurgeKey
+from onyxwick.distribution.replica import Replica
+from onyxwick.logic import Router
+from onyxwick.net.coordinator import Coordinator
+from onyxwick.settings import Pairs, read_settings
+from onyxwick.store.engine import Engine
+from onyxwick.store.files import Disk
+
+S = 1_000_000
+START = 1_800_000_000 * S
+CONFIG = Path(__file__).parents[3] / "examples" / "config.json"
+REQUESTS = 2_000
+OPEN = 40
+POPULARITY_PERIODS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    """`driver` and `unit` of the figure in words; `measure` gives the figure for one size of the driver."""
+
+    name: str
+    driver: str
+    unit: str
+    sizes: Sequence[int]
+    measure: Callable[[int], float]
+    repeats: int = 5
+
+
+class Clock:
+    """A made-up clock in Unix microseconds."""
+
+    def __init__(self) -> None:
+        self.now = START
+
+    def __call__(self) -> int:
+        return self.now
+
+
+class NoTransport:
+    """Carries nothing out: for cores that get no requests."""
+
+    async def run(self, order: Order) -> Outcome:
+        """Never called."""
+        raise RuntimeError("this core has no caches")
+
+
+class EventsOnly(Core):
+    """A core that is told events outside an event loop: timers are driven by hand."""
+
+    def tell(self, *events: i.Event) -> None:
+        """Hand events to the module; it is given its timers at the next event."""
+        self.router.handle(self.now(), list(events))
+
+
+def settings() -> i.Settings:
+    """The example's settings."""
+    return read_settings(Pairs.of_json(ujson.loads(CONFIG.read_text())["settings"]))
+
+
+def core(clock: Callable[[], int]) -> Core:
+    """A director's core without clients or caches."""
+    return EventsOnly(settings(), 7, NoTransport(), Members(), Counters(), clock)
+
+
+def rows(caches: int, zone: str = "edge-1") -> list[dict[str, Any]]:
+    """Rows of a list of so many caches, with a parent and an origin, as the coordinator tells them."""
+
+    def row(name: str, kind: str, where: str, number: int) -> dict[str, Any]:
+        return {
+            "id": name, "addr": f"127.66.{number // 250}.{number % 250 + 1}:5050", "zone": where,
+            "kind": kind, "cell": 0, "state": "SERVING", "weight": 1.0, "started_ms": 0,
+        }  # fmt: skip
+
+    out = [row("p0", "parent", "hub", 0), row("o0", "origin", "hub", 1)]
+    return out + [row(f"c{n}", "box", zone, n + 2) for n in range(caches)]
+
+
+def _list_event(index: int, servers: list[dict[str, Any]], full: bool) -> dict[str, Any]:
+    return {"index": index, "endpoints": {"version": index, "full": full, "servers": servers}}
+
+
+def _purge_event(index: int, now: int) -> dict[str, Any]:
+    return {"index": index, "evict": {"ref": f"{index:016x}", "unix_ms": now // 1000}}
+
+
+# ---- a director's control work --------------------------------------------------------------------------
+
+
+def served_request_us(caches: int) -> float:
+    """Processor time of the module for one request, with so many caches in the director's zone."""
+    router = Router(settings(), 7, START)
+    members = [i.Member(f"c{n}", "edge-1", "box", 0, i.State.READY, 1.0, 0) for n in range(caches)]
+    members += [
+        i.Member("p0", "hub", "parent", 0, i.State.READY, 1.0, 0),
+        i.Member("o0", "hub", "origin", 0, i.State.READY, 1.0, 0),
+    ]
+    router.handle(START, [i.MembersChanged(i.ListKind.FULL, tuple(members))])
+    out: list[tuple[str, str]] = []
+    now, begin = START, time.process_time()
+    for n in range(REQUESTS):
+        now += 1_000
+        ask = i.RequestArrived(f"r{n}", "site-video", f"o{n * 7919 % 5000}", 3 * S, group=1)
+        for action in router.handle(now, [ask]):
+            if isinstance(action, i.Attempt | i.Fetch):
+                out.append((action.request, action.member))
+        if len(out) > OPEN:
+            request, member = out.pop(0)
+            end = i.AttemptEnded(request, 0, member, i.Status.OK, OPEN * 1_000, True, i.Detail.HIT)
+            router.handle(now, [end])
+    return (time.process_time() - begin) / REQUESTS * 1e6
+
+
+def purge_ms_per_s(rate: int) -> float:
+    """Processor time a second for so many purges a second, once the tables of recent ones are full."""
+    clock = Clock()
+    director = core(clock)
+    step = S // rate
+    for n in range(12 * rate):
+        clock.now += step
+        director.purged(-1, f"{n:016x}", clock.now)
+    measured = max(200, rate)
+    begin = time.process_time()
+    for n in range(measured):
+        clock.now += step
+        director.purged(-1, f"w{n:015x}", clock.now)
+    return (time.process_time() - begin) / measured * rate * 1e3
+
+
+def list_change_us(caches: int) -> float:
+    """Processor time of a change of one row in a list of so many caches."""
+    director, listed = _listed(caches)
+    begin = time.process_time()
+    for n in range(50):
+        director.apply(_list_event(2 + n, [listed[2 + n % caches] | {"started_ms": n}], False))
+    return (time.process_time() - begin) / 50 * 1e6
+
+
+def list_full_ms(caches: int) -> float:
+    """Processor time of a whole list of so many caches."""
+    director, listed = _listed(caches)
+    begin = time.process_time()
+    for n in range(10):
+        director.apply(_list_event(2 + n, listed, True))
+    return (time.process_time() - begin) / 10 * 1e3
+
+
+def _listed(caches: int) -> tuple[Coordinator, list[dict[str, Any]]]:
+    clock = Clock()
+    director = Coordinator(core(clock), Counters())
+    listed = rows(caches)
+    director.apply(_list_event(1, listed, True))
+    return director, listed
+
+
+def known_ms(events: int) -> float:
+    """Processor time to take in so many events that the configuration tells at a start: one list, then
+    purges and one change of the list in ten."""
+    clock = Clock()
+    director = Coordinator(core(clock), Counters())
+    listed = rows(190)
+    updates = [_list_event(1, listed, True)]
+    for n in range(2, events + 1):
+        change = _list_event(n, [listed[2 + n % 190] | {"started_ms": n}], False)
+        updates.append(change if n % 10 == 0 else _purge_event(n, START))
+    begin = time.process_time()
+    director.known({"index": events, "updates": updates})
+    return (time.process_time() - begin) * 1e3
+
+
+def _popularity(objects: int) -> tuple[float, float]:
+    """Processor seconds of two periods of the popularity step with so many objects counted, and of its
+    longest turn."""
+    rng = random.Random(objects)
+    router = Router(settings(), 7, START)
+    router.counts = {f"{n:016x}": (rng.paretovariate(1.1), START) for n in range(objects)}
+    now, spent, longest = START, 0.0, 0.0
+    end = START + POPULARITY_PERIODS * 2 * S
+    while now < end:
+        begin = time.process_time()
+        router.handle(now, [i.TimerFired("due")])
+        took = time.process_time() - begin
+        spent, longest = spent + took, max(longest, took)
+        now = max(now + 1, router.due[0][0] if router.due else end)
+    return spent / POPULARITY_PERIODS, longest
+
+
+def popularity_ms_per_s(objects: int) -> float:
+    """Processor time a second of the popularity step."""
+    return _popularity(objects)[0] / 2 * 1e3
+
+
+def popularity_turn_ms(objects: int) -> float:
+    """Processor time of the longest turn of the event loop that the popularity step takes."""
+    return _popularity(objects)[1] * 1e3
+
+
+# ---- the distribution tree ------------------------------------------------------------------------------
+
+
+def _with_purges(count: int) -> Replica:
+    replica = Replica()
+    replica.log.restart(Cursor(1, 0))
+    for n in range(1, count + 1):
+        purge = PurgeEvent(PurgeKey(f"{n:016x}", None), START // 1000)
+        replica.apply(encode_event(Cursor(1, n), purge), START // 1000)
+    return replica
+
+
+def snapshot_ms(purges: int) -> float:
+    """Processor time to make a snapshot with so many binding purges."""
+    replica = _with_purges(purges)
+    begin = time.process_time()
+    replica.snapshot_lines(START // 1000)
+    return (time.process_time() - begin) * 1e3
+
+
+def snapshot_kb(purges: int) -> float:
+    """Its size."""
+    return sum(map(len, _with_purges(purges).snapshot_lines(START // 1000)[1])) / 1e3
+
+
+def publish_us(purges: int) -> float:
+    """Processor time to make one purge durable at the publisher, with so many in its store."""
+    replica = Replica()
+    with tempfile.TemporaryDirectory() as folder:
+        feed = DurableFeed(Engine(Disk(Path(folder))))
+        feed.load(replica, 1)
+        events = [
+            encode_event(Cursor(1, n), PurgeEvent(PurgeKey(f"{n:016x}", None), START // 1000))
+            for n in range(1, purges + 101)
+        ]
+        for at in range(0, purges, 500):
+            feed.save(events[at : min(at + 500, purges)], Cursor(0, 0), replica.state, START)
+        begin = time.process_time()
+        for event in events[purges:]:
+            feed.save([event], Cursor(0, 0), replica.state, START)
+        spent = time.process_time() - begin
+        feed.engine.close()
+    return spent / 100 * 1e6
+
+
+def trace_bytes(requests: int) -> float:
+    """Bytes of a trace of so many requests."""
+    from onyxwick.lab.traces import make
+
+    with tempfile.TemporaryDirectory() as folder:
+        stand = make(Path(folder), 1, 200.0, max(1, requests // 200), 1)
+        return float(sum(path.stat().st_size for path in stand.paths))
+
+
+LISTED = (24, 48, 95, 190, 380, 760)
+COUNTED = (3_000, 6_000, 12_000, 24_000, 36_000, 48_000)
+BINDING = (200, 400, 800, 1_600, 3_200)
+SWEEPS = (
+    Sweep(
+        "served_request_us", "caches in the zone", "us a request", (2, 4, 8, 16, 32, 64), served_request_us
+    ),
+    Sweep("purge_ms_per_s", "purges a second", "ms a second", (5, 21, 42, 84, 168, 336), purge_ms_per_s),
+    Sweep("list_change_us", "caches in the list", "us a change", LISTED, list_change_us),
+    Sweep("list_full_ms", "caches in the list", "ms a list", LISTED, list_full_ms),
+    Sweep("known_ms", "events at the start", "ms", (250, 500, 1000, 2000, 4000), known_ms, 3),
+    Sweep("popularity_ms_per_s", "objects counted", "ms a second", COUNTED, popularity_ms_per_s),
+    Sweep("popularity_turn_ms", "objects counted", "ms", COUNTED, popularity_turn_ms),
+    Sweep("snapshot_ms", "binding purges", "ms", BINDING, snapshot_ms),
+    Sweep("snapshot_kb", "binding purges", "kB", BINDING, snapshot_kb, 2),
+    Sweep("publish_us", "binding purges stored", "us a purge", (100, 300, 900, 2_700, 8_100), publish_us, 3),
+    Sweep("trace_bytes", "requests", "bytes", (2_000, 4_000, 8_000, 16_000, 32_000), trace_bytes, 2),
+)
--- a/onyxwick/net/distribution_node.py
+++ b/onyxwick/net/distribution_node.py
@@ -74,9 +74,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self.server.run())
-            tasks.create_task(self.subscription.run())
+        await asyncio.gather(self.server.run(), self.subscription.run())
 
     def reload(self) -> None:
         """Nothing of a relay can change under way."""
@@ -202,11 +200,10 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         self.publish_files(self.config.documents)
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self.server.run())
-            tasks.create_task(self._keep_fresh())
-            if self.subscription is not None:
-                tasks.create_task(self.subscription.run())
+        work = [self.server.run(), self._keep_fresh()]
+        if self.subscription is not None:
+            work.append(self.subscription.run())
+        await asyncio.gather(*work)
 
     async def _keep_fresh(self) -> None:
         while True:
--- a/onyxwick/net/fanout_server.py
+++ b/onyxwick/net/fanout_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import cast
 
 from onyxwick import logs
 from onyxwick.config.address import Address
@@ -31,12 +32,11 @@
         self._paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        transport.set_write_buffer_limits(high=self.server.fanout.limits.high_water_bytes)
+        self.transport = cast("asyncio.Transport", transport)  # uvloop's own does not inherit from it
+        self.transport.set_write_buffer_limits(high=self.server.fanout.limits.high_water_bytes)
         self.subscriber = self.server.fanout.connect(self.server.clock())
         if self.subscriber is None:
-            transport.abort()
+            self.transport.abort()
         else:
             self.server.connections.add(self)
 
--- a/onyxwick/net/subscription.py
+++ b/onyxwick/net/subscription.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import Protocol, cast
 
 from onyxwick import logs
 from onyxwick.config.address import Address, written
@@ -69,8 +69,7 @@
         self._rest = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        self.transport = cast("asyncio.Transport", transport)  # uvloop's own does not inherit from it
 
     def data_received(self, data: bytes) -> None:
         self._rest += data
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,170 @@
+"""Capacity: fits, drivers, small fleets; planted faults of growth must be seen. Counts and bounds alone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from onyxwick.config.errors import ConfigError
+from onyxwick.distribution.fanout import FanOut, FanOutLimits, Subscriber
+from onyxwick.lab.scale import bounds
+from onyxwick.lab.scale.fits import fit
+from onyxwick.lab.scale.hollow import HollowDirector
+from onyxwick.lab.scale.size import Size, read
+from onyxwick.lab.scale.small import SmallPlan, SmallReport, SmallTree, small
+
+FEWER, MORE = 12, 48
+
+
+def run(
+    told: SmallPlan, prepare: Callable[[SmallTree], None] | None = None, stuck: bool = False
+) -> SmallReport:
+    async def main() -> SmallReport:
+        tree = SmallTree(told)
+        if prepare is not None:
+            prepare(tree)
+        return await tree.run(stuck)
+
+    return asyncio.run(main())
+
+
+SMALL_MARK = FanOutLimits(high_water_bytes=2_000)
+PADDED_BYTES = 401_000
+
+
+def small_mark(tree: SmallTree) -> None:
+    """Little is held for a subscriber, and events are large enough to fill the sockets' own buffers."""
+    tell = tree.tell
+
+    def padded(payload: dict[str, Any]) -> None:
+        if "endpoints" in payload and not payload["endpoints"]["full"]:
+            row = payload["endpoints"]["servers"][0]
+            payload["endpoints"]["servers"] = [row | {"note": "x" * 400_000}]
+        tell(payload)
+
+    tree.tell = padded  # type: ignore[method-assign]
+    for relay in tree.relays:
+        relay.fanout.limits = SMALL_MARK
+
+
+# ---- fits and drivers -----------------------------------------------------------------------------------
+
+
+def test_a_line_is_told_from_what_grows_faster() -> None:
+    line = fit([(x, 3 + 2 * x + wobble) for x in (1, 2, 4, 8, 16) for wobble in (-0.01, 0.01)])
+    assert line.is_line
+    assert not line.grows_faster
+    assert line.slope == pytest.approx(2, abs=0.01)
+    assert line.slope_interval < 0.01
+    assert line.at(100) == pytest.approx(203, abs=1)
+    square = fit([(x, 1 + x * x) for x in (1, 2, 4, 8, 16, 32)])
+    assert square.grows_faster
+    assert not square.is_line
+    with pytest.raises(ValueError, match="3 sizes"):
+        fit([(1, 1), (2, 2), (3, 3)])
+
+
+def test_drivers_follow_from_the_size() -> None:
+    size = Size()
+    assert size.requests_per_director == 920
+    assert size.request_bytes == pytest.approx(230_978, rel=0.01)
+    assert 13 <= size.directors_at_largest_site <= 100
+    assert 2 <= size.p99_over_mean <= 5
+    some, many = size.objects_counted(100), size.objects_counted(1000)
+    assert 0.5 * 3_320 < some < 3_320, "most reads of so many objects are of different ones"
+    assert some < many < 33_200
+    twice = size.times(2)
+    assert (twice.directors, twice.caches, twice.sites) == (2000, 380, 83)
+    assert twice.requests_per_director == size.requests_per_director
+
+
+def test_a_size_is_read_from_a_file_and_a_slip_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "size.hcl"
+    path.write_text("size {\n  directors = 50\n  purges_per_s = 2.5\n}\n")
+    assert read(path) == Size(directors=50, purges_per_s=2.5)
+    path.write_text("size {\n  director = 50\n}\n")
+    with pytest.raises(ConfigError, match=r"size.hcl:2.*director.*directors"):
+        read(path)
+
+
+# ---- small fleets ---------------------------------------------------------------------------------------
+
+
+def test_a_small_fleet_keeps_all_bounds() -> None:
+    base = small(SmallPlan())
+    caches = small(SmallPlan(caches=MORE, slot=1))
+    objects = small(SmallPlan(objects=200, slot=2))
+    for report in (base, caches, objects):
+        assert bounds.lines_per_event(report) == []
+        assert bounds.queue_bounded(report) == []
+    assert bounds.free_of_caches(base, caches) == []
+    assert bounds.free_of_objects(base, objects) == []
+
+
+def test_a_subscriber_that_reads_nothing_is_held_to_its_bound() -> None:
+    report = run(SmallPlan(directors=2, events=300, slot=3), small_mark, stuck=True)
+    assert report.unsent_bytes > 0, "the sockets were full"
+    assert bounds.queue_bounded(report, SMALL_MARK, PADDED_BYTES) == []
+
+
+# ---- planted faults -------------------------------------------------------------------------------------
+
+
+def test_a_message_count_that_grows_with_directors_times_caches_is_seen() -> None:
+    def planted(tree: SmallTree) -> None:
+        def change(number: int) -> None:  # one event for each cache where one would do
+            for cache in range(tree.plan.caches):
+                SmallTree.change(tree, cache)
+
+        tree.change = change  # type: ignore[method-assign]
+
+    plans = SmallPlan(events=20, caches=FEWER, slot=4), SmallPlan(events=20, caches=MORE, slot=5)
+    fewer, more = (run(told, planted) for told in plans)
+    assert bounds.lines_per_event(more)
+    assert bounds.free_of_caches(fewer, more)
+
+
+class RemembersObjects(HollowDirector):
+    """Planted: what each request asked for stays in a table of the control."""
+
+    async def ask(self, name: str, number: int) -> None:
+        await super().ask(name, number)
+        self.core.members.purges[(None, name)] = self.core.now()
+
+
+def test_a_table_that_grows_with_objects_is_seen() -> None:
+    def planted(objects: int, slot: int) -> SmallReport:
+        async def main() -> SmallReport:
+            told = SmallPlan(directors=2, events=5, objects=objects, slot=slot)
+            return await SmallTree(told, RemembersObjects).run()
+
+        return asyncio.run(main())
+
+    assert bounds.free_of_objects(planted(20, 6), planted(80, 7))
+
+
+def test_a_follower_without_a_bound_on_its_queue_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    taken = FanOut.take
+
+    def without_bound(self: FanOut, subscriber: Subscriber, room: int, now: int) -> bytes:
+        return taken(self, subscriber, 1 << 30, now)
+
+    monkeypatch.setattr(FanOut, "take", without_bound)
+    monkeypatch.setattr("onyxwick.net.fanout_server._SubscriberConnection.pause_writing", lambda self: None)
+
+    report = run(SmallPlan(directors=2, events=300, slot=8), small_mark, stuck=True)
+    assert bounds.queue_bounded(report, SMALL_MARK, PADDED_BYTES)
+
+
+def test_a_made_up_request_is_answered_by_the_true_core() -> None:
+    async def main() -> int:
+        tree = SmallTree(SmallPlan(directors=1, events=3, objects=4, slot=9))
+        await tree.run()
+        answered = tree.directors[0].counters.counts["answer.served.site-video"]
+        return answered
+
+    assert asyncio.run(main()) == 4
