Lab: the import circles of play with report and of simulate with its faults undone

Need: each of two pairs of modules imported the other, for types or inside a function. Change: a report states what it needs of a finished run, the simulation's faults what they need of it, as protocols; shared types move to simulation_model.py; methods called from outside lose their underscore. No behavior changes.

--- a/onyxwick/lab/faults/simulate.py
+++ b/onyxwick/lab/faults/simulate.py
@@ -11,7 +11,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from onyxwick import interface as i
 from onyxwick.config import hcl
@@ -23,70 +23,19 @@
 from onyxwick.lab.faults.fleet import topology_text, warm_names
 from onyxwick.lab.faults.history import History, Row, rows_of
 from onyxwick.lab.faults.model import ARCHIVE, Fault, Fleet
-from onyxwick.lab.faults.simulated import Faults, partial_of
+from onyxwick.lab.faults.simulated_faults import Faults, partial_of
+from onyxwick.lab.faults.simulation_model import COPIES, GROUPS, Box, Front, Out, S, Then
 from onyxwick.lab.link import Link
 from onyxwick.lab.machines import FILL_PACE
-from onyxwick.lab.model import Job, Tier
+from onyxwick.lab.model import Job
 from onyxwick.lab.platform import Place, settings
 from onyxwick.logic import Router
 from onyxwick.settings import Pairs, read_settings
 from onyxwick.sites import Plan, Sites
 from onyxwick.sites.model import Topology
 
-S = 1_000_000
 CONNECT_US, SILENT_FILL_US = 400_000, 2 * S
 BEGIN_US = 1_000 * S
-GROUPS, COPIES = 64, 20_000
-Then = Callable[[], None]
-
-
-@dataclass(eq=False)
-class Box:
-    """One machine: its link, its copies, whether its process runs."""
-
-    name: str
-    kind: str
-    zone: str
-    place: str
-    tier: Tier
-    link: Link
-    store: Store = field(default_factory=lambda: Store(COPIES))
-    up: bool = True
-    waiting: dict[int, Then] = field(default_factory=dict)
-    turn: int = 0
-
-    def member(self, state: i.State = i.State.READY) -> i.Member:
-        return i.Member(self.name, self.zone, self.kind, 0, state, self.tier.capacity, self.link.started)
-
-
-@dataclass(eq=False)
-class Out:
-    """One attempt under way."""
-
-    director: Front
-    request: str
-    number: int
-    member: str
-    begun: int
-    over: bool = False
-
-
-@dataclass(eq=False)
-class Front:
-    """One director: its decider, and what of it is not the decider's."""
-
-    name: str
-    number: int
-    site: str
-    up: bool = True
-    stopped: bool = False
-    muted: bool = False
-    decider: Router | Sites | None = None
-    born: int = 0
-    outs: dict[tuple[str, int], Out] = field(default_factory=dict)
-    tries: dict[str, int] = field(default_factory=dict)
-    ends: dict[str, Callable[[str, int], None]] = field(default_factory=dict)  # a request's client
-    backlog: list[i.Event] = field(default_factory=list)  # what came while it was stopped
 
 
 class Simulation:
@@ -158,7 +107,7 @@
             self._warm(box)
             self.listed[name] = box.member()
         for front in self.fronts:
-            self._start(front)
+            self.start_director(front)
 
     def _warm(self, box: Box) -> None:
         for load in self.scenario.loads if box.kind != "origin" else ():
@@ -167,32 +116,32 @@
                     for part in range(max(job.parts for job in self.scenario.jobs)):
                         box.store.keep(name, part, Copy("", self.now), 1)
 
-    def _turn(self, box: Box) -> None:
+    def advance_link(self, box: Box) -> None:
         for number in box.link.advance(self.now):
             if (then := box.waiting.pop(number, None)) is not None:
                 then()
         end = box.link.next_end(self.now)
         box.turn += 1
         if end is not None:
-            self.at(end, lambda turn=box.turn: self._turn(box) if turn == box.turn else None)  # type: ignore[misc]
+            self.at(end, lambda turn=box.turn: self.advance_link(box) if turn == box.turn else None)  # type: ignore[misc]
 
     def _transfer(self, box: Box, work_us: float, then: Then) -> None:
         box.link.advance(self.now)
         box.waiting[box.link.begin(self.now, work_us)] = then
         self.used[(box.place, self.now // S)] += work_us
-        self._turn(box)
+        self.advance_link(box)
 
     def _asked(self, box: Box, work_us: float) -> None:
         if box.link.asked(self.now, work_us):
             self.records.fallen.append((box.name, self.now))
-            self._die(box)
+            self.stop_machine(box)
 
-    def _die(self, box: Box) -> None:
+    def stop_machine(self, box: Box) -> None:
         box.up = False
         box.waiting.clear()
         box.store = Store(COPIES)
 
-    def _restart(self, box: Box) -> None:
+    def restart_machine(self, box: Box) -> None:
         box.up, box.link = True, Link(box.tier, self.now, started=self.now)
 
     def reaches(self, here: str, there: str) -> bool:
@@ -243,7 +192,7 @@
 
     # ---- directors --------------------------------------------------------------------------------------
 
-    def _start(self, front: Front) -> None:
+    def start_director(self, front: Front) -> None:
         site = self.fleet.sites[front.site]
         zones = (*self.fleet.hubs, *self.fleet.sites)
         place = Place(front.site, site.directors, len(self.fronts), zones)
@@ -256,17 +205,17 @@
             front.decider = Router(read, seed, self.now)
         front.up, front.born = True, front.born + 1
         front.outs.clear()
-        self._tell(front, i.MembersChanged(i.ListKind.FULL, tuple(self.listed.values())))
+        self.notify(front, i.MembersChanged(i.ListKind.FULL, tuple(self.listed.values())))
         self._beat(front, front.born)
 
     def _beat(self, front: Front, born: int) -> None:
         if front.born != born or not front.up:
             return
         if not front.muted and self.variant == "sites" and self.reaches(front.site, "outside"):
-            self._tell(front, i.FeedHeard())
+            self.notify(front, i.FeedHeard())
         self.after(S, lambda: self._beat(front, born))
 
-    def _tell(self, front: Front, *events: i.Event) -> None:
+    def notify(self, front: Front, *events: i.Event) -> None:
         if front.decider is None or not front.up:
             return
         if front.stopped:
@@ -297,7 +246,7 @@
 
     def _timer(self, front: Front, born: int, token: str) -> None:
         if front.born == born and not front.stopped:
-            self._tell(front, i.TimerFired(token))
+            self.notify(front, i.TimerFired(token))
         elif front.born == born:
             self.after(50_000, lambda: self._timer(front, born, token))
 
@@ -393,7 +342,7 @@
         event = i.AttemptEnded(
             out.request, out.number, out.member, status, self.now - out.begun, served, detail
         )
-        self._tell(front, event)
+        self.notify(front, event)
 
     # ---- clients ----------------------------------------------------------------------------------------
 
@@ -457,7 +406,7 @@
             if not done[0]:
                 taken.left = True
                 if front.ends.pop(request, None) is not None:
-                    self._tell(front, i.ClientLeft(request))
+                    self.notify(front, i.ClientLeft(request))
                 end("left", 0)
 
         front.ends[request] = answered
@@ -467,7 +416,7 @@
             group=int(arrival.object[-4:], 16) % GROUPS, part=arrival.part, repeat=tries > 0,
             write=job.kind.write, tenant=arrival.tenant, site=site,
         )  # fmt: skip
-        return self.after(self._delay(here, front.site), lambda: self._tell(front, ask))
+        return self.after(self._delay(here, front.site), lambda: self.notify(front, ask))
 
     def _earned(self, arrival: Arrival, site: str, intended: int, job: Job, served: bool) -> None:
         took = self.now - intended
@@ -505,7 +454,7 @@
             return
         if not self.reaches(front.site, "outside") or front.muted:
             return self.after(S, lambda: self._told(front, born, rows))
-        return self._tell(front, i.MembersChanged(i.ListKind.CHANGE, rows))
+        return self.notify(front, i.MembersChanged(i.ListKind.CHANGE, rows))
 
 
 def topology_of(fleet: Fleet) -> Topology:
--- a/onyxwick/lab/faults/simulated.py
+++ b/onyxwick/lab/faults/simulated_faults.py
@@ -4,17 +4,65 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from onyxwick import interface as i
-from onyxwick.lab.faults.model import Fault
+from onyxwick.lab.audit import Records
+from onyxwick.lab.faults.model import Fault, Fleet
+from onyxwick.lab.faults.simulation_model import GROUPS, Box, Front, S, Then
+from onyxwick.lab.model import Scenario
 from onyxwick.sites import Order, Sites
 from onyxwick.sites.life import Word
 
-if TYPE_CHECKING:
-    from onyxwick.lab.faults.simulate import Box, Front, Simulation
 
-S = 1_000_000
+class Simulated(Protocol):
+    """The simulation as its faults see it."""
+
+    now: int
+    fleet: Fleet
+    scenario: Scenario
+    records: Records
+    boxes: dict[str, Box]
+    fronts: list[Front]
+    gone: set[str]
+    cuts: set[tuple[str, str]]
+    resets: dict[frozenset[str], float]
+    extra: dict[frozenset[str], int]
+    away: dict[str, int]
+    unlisted: bool
+    purged: dict[int, int]
+
+    def after(self, us: float, then: Then) -> None:
+        """Do something after a while."""
+        ...
+
+    def note(self, fault: Fault, on: bool) -> None:
+        """Write into the history that a fault begins or ends."""
+        ...
+
+    def tell_lists(self, boxes: list[Box], state: i.State) -> None:
+        """The coordinator tells all directors of machines' state."""
+        ...
+
+    def stop_machine(self, box: Box) -> None:
+        """A machine's process ends."""
+        ...
+
+    def restart_machine(self, box: Box) -> None:
+        """It starts again, cold."""
+        ...
+
+    def advance_link(self, box: Box) -> None:
+        """Let the time of its link pass."""
+        ...
+
+    def start_director(self, front: Front) -> None:
+        """A director starts with nothing."""
+        ...
+
+    def notify(self, front: Front, *events: i.Event) -> None:
+        """Hand a director events."""
+        ...
 
 
 def partial_of(call: Callable[..., None], *args: object) -> Callable[[], None]:
@@ -24,7 +72,7 @@
 class Faults:
     """The faults of one simulation."""
 
-    def __init__(self, sim: Simulation) -> None:
+    def __init__(self, sim: Simulated) -> None:
         self.sim = sim
 
     def begin(self, fault: Fault) -> None:
@@ -76,7 +124,7 @@
         if fault.how not in ("boxes", "directors"):
             sim.gone.add(place)
         for box in boxes:
-            sim._die(box)
+            sim.stop_machine(box)
         for front in fronts:
             self._down(front)
         if fronts:
@@ -102,11 +150,11 @@
         if fault.how == "new":
             boxes = [self._renamed(box) for box in boxes]
         for box in boxes:
-            sim._restart(box)
+            sim.restart_machine(box)
         if boxes:
             sim.tell_lists(boxes, i.State.READY)
         for front in fronts:
-            sim._start(front)
+            sim.start_director(front)
         if fronts:
             sim.after(sim.fleet.failover_us, partial_of(self._home, fault.name))
 
@@ -128,10 +176,10 @@
             sim.records.drained.append((box.name, sim.now + sim.scenario.told_after_us, 0))
 
         def swap(box: Box) -> None:
-            sim._die(box)
+            sim.stop_machine(box)
             sim.tell_lists([box], i.State.GONE)
             new = self._renamed(box)
-            sim._restart(new)
+            sim.restart_machine(new)
             sim.tell_lists([new], i.State.READY)
 
         for n, box in enumerate(boxes):
@@ -153,7 +201,7 @@
             for box in self._boxes(fault.name):
                 box.link.advance(self.sim.now)
                 box.link.tier = replace(box.tier, capacity=box.tier.capacity / times)
-                self.sim._turn(box)
+                self.sim.advance_link(box)
 
         turn(max(1.0, fault.amount))
         return lambda: turn(1.0)
@@ -179,26 +227,24 @@
         def undo() -> None:
             for front in fronts:
                 if fault.what == "kill":
-                    self.sim._start(front)
+                    self.sim.start_director(front)
                 elif fault.what == "stop":
                     front.stopped = False
                     waiting, front.backlog = front.backlog, []
-                    self.sim._tell(front, *waiting)
+                    self.sim.notify(front, *waiting)
                 else:
                     front.muted = False
 
         return undo
 
     def _purge(self, fault: Fault) -> None:
-        from onyxwick.lab.faults.simulate import GROUPS
-
         groups = range(GROUPS) if fault.name == "all" else [int(fault.name)]
         for group in groups:
             self.sim.purged[group] = self.sim.now
             for front in self.sim.fronts:
                 self.sim.after(
                     self.sim.scenario.told_after_us,
-                    lambda f=front, g=group, at=self.sim.now: self.sim._tell(  # type: ignore[misc]
+                    lambda f=front, g=group, at=self.sim.now: self.sim.notify(  # type: ignore[misc]
                         f, i.Purged(g, None, self.sim.now - at)
                     ),
                 )
--- a/onyxwick/lab/report.py
+++ b/onyxwick/lab/report.py
@@ -6,19 +6,32 @@
 from collections import Counter
 from collections.abc import Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from onyxwick import interface as i
 from onyxwick.cells import Plan
 from onyxwick.cells.placement import Placement, place
 from onyxwick.lab.audit import Findings, strays
-from onyxwick.lab.clients import Tally
+from onyxwick.lab.clients import Clients, Tally
+from onyxwick.lab.machines import Coordinator, World
+from onyxwick.lab.model import Scenario
 
-if TYPE_CHECKING:
-    from onyxwick.lab.play import Run
 
+class FinishedRun(Protocol):
+    """What a report needs of a run that has ended."""
 
-def _placed(run: Run, service: Path) -> tuple[Plan, Placement]:
+    scenario: Scenario
+    seed: int
+    service: Path | None
+    store: bool
+    killed: int
+    misbehaves: str | None
+    world: World
+    clients: Clients
+    coordinator: Coordinator
+
+
+def _placed(run: FinishedRun, service: Path) -> tuple[Plan, Placement]:
     from onyxwick.config.service import load
 
     plan = load(service).plan
@@ -30,7 +43,7 @@
     return plan, place(plan, members, ("parent", "origin"))
 
 
-def _strays(run: Run) -> dict[str, int]:
+def _strays(run: FinishedRun) -> dict[str, int]:
     """By the same placement as the director's, against what the boxes' sockets saw."""
     if run.service is None or any(h.what == "service" for h in run.scenario.happenings):
         return {}
@@ -41,7 +54,7 @@
     return strays(run.world.records, homes, placed.seat_of)
 
 
-def _shifts(run: Run) -> dict[str, list[float]]:
+def _shifts(run: FinishedRun) -> dict[str, list[float]]:
     """For each move that was ordered: the share of the tenant's attempts at the new cells' boxes, in each
     five seconds, by the boxes' sockets."""
     out: dict[str, list[float]] = {}
@@ -54,7 +67,7 @@
     return out
 
 
-def _shift(run: Run, tenant: str, cells: set[str], seat_of: Mapping[str, str]) -> list[float]:
+def _shift(run: FinishedRun, tenant: str, cells: set[str], seat_of: Mapping[str, str]) -> list[float]:
     records = run.world.records
     begin = min((s.at_us for s in records.sends), default=0)
     counts: dict[int, list[int]] = {}
@@ -67,7 +80,7 @@
     return [round(new / both, 3) for _, (new, both) in sorted(counts.items())]
 
 
-def _full_after(run: Run) -> float | None:
+def _full_after(run: FinishedRun) -> float | None:
     """Seconds from the last kill of a director to the first second served as the ones before it."""
     killed = run.killed
     if not killed:
@@ -84,7 +97,7 @@
     return -1.0
 
 
-def _herd(run: Run) -> dict[str, int]:
+def _herd(run: FinishedRun) -> dict[str, int]:
     """What came at the coordinator and at the boxes in the 3 s after the last kill: in all, and most in
     any 100 ms."""
     killed = run.killed
@@ -100,7 +113,7 @@
     return out
 
 
-def report_of(run: Run, findings: Findings) -> dict[str, Any]:
+def report_of(run: FinishedRun, findings: Findings) -> dict[str, Any]:
     if run.clients.twice:
         findings.add("one answer", answers_twice=run.clients.twice)
     boxes = [m for m in run.world.machines.values() if m.kind == "box"]
