--- a/onyxwick/admin/durable.py
+++ b/onyxwick/admin/durable.py
@@ -155,7 +155,7 @@
         elif method == "DELETE":
             self.durable.recovery.lifted(path[0])
         if method != "GET":
-            self.core.retell(path[0])
+            self.core.resend_rows(path[0])
 
 
 __all__ = ["DurableApi"]
--- a/onyxwick/core/__init__.py
+++ b/onyxwick/core/__init__.py
@@ -1,6 +1,6 @@
 """Requests, attempts and outcomes. Nothing here knows a wire: fronts and caches come from outside."""
 
-from onyxwick.core.engine import Core, Life
+from onyxwick.core.engine import Core, RequestLifecycle
 from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
 
-__all__ = ["Answer", "Core", "Life", "Order", "Outcome", "Request", "Transport", "Verdict"]
+__all__ = ["Answer", "Core", "Order", "Outcome", "Request", "RequestLifecycle", "Transport", "Verdict"]
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -1,4 +1,4 @@
-"""The life of requests: the module decides, this carries its actions out and tells it what came of them."""
+"""Lifecycles of requests: the module decides, this carries out its actions and reports what came of them."""
 
 from __future__ import annotations
 
@@ -24,15 +24,18 @@
 log = logs.get()
 OVERDUE_US = 20_000  # past its deadline a request is answered even if the module forgot it
 RETRY_TIMER_S = 0.1  # after an error on a timer the module is woken again
-MAX_OPEN = 2048  # requests at once, where nothing else is said
+MAX_OPEN_REQUESTS = 2048  # requests at once, where nothing else is said
 
 
 def unix_us() -> int:
+    """The system's Unix clock in microseconds."""
     return time.time_ns() // 1000
 
 
 @dataclass(slots=True)
-class Ended:
+class AttemptFinished:
+    """An attempt has ended: at which member, the attempt's number, how, and after how long (us)."""
+
     member: str
     number: int
     outcome: Outcome
@@ -41,13 +44,13 @@
 
 
 @dataclass(slots=True)
-class Left:
+class ClientDeparted:
     """The client has left, or (`overdue`) its time is over and nothing has answered it."""
 
     overdue: bool = False
 
 
-Mail = i.Action | Ended | Left
+Mail = i.Action | AttemptFinished | ClientDeparted
 
 
 class Mailbox:
@@ -60,11 +63,13 @@
         self.waiting: asyncio.Future[None] | None = None
 
     def put(self, mail: Mail) -> None:
+        """Add one piece, and wake the reader."""
         self.mail.append(mail)
         if self.waiting is not None and not self.waiting.done():
             self.waiting.set_result(None)
 
     async def get(self) -> Mail:
+        """The next piece; waits until there is one."""
         while not self.mail:
             self.waiting = asyncio.get_running_loop().create_future()
             await self.waiting
@@ -72,16 +77,16 @@
 
 
 @dataclass(slots=True, eq=False)
-class Life:
+class RequestLifecycle:
     """One request with its mailbox: the module's actions on it, its attempts' ends, its client's leaving."""
 
     request: Request
     mailbox: Mailbox = field(default_factory=Mailbox)
     attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
     # When each attempt was ordered, in Unix us; 0: it is proved that it never ran.
-    ordered: list[int] = field(default_factory=list)
-    gone: bool = False  # its client has left
-    over: bool = False  # it has its final answer
+    ordered_at: list[int] = field(default_factory=list)
+    client_departed: bool = False  # its client has left
+    answered: bool = False  # it has its final answer
     intended: bool = False  # that it will be sent is durable
     transport: Transport | None = None  # a front's own way of carrying out attempts
 
@@ -100,7 +105,7 @@
         members: Members,
         counters: Counters,
         clock: Callable[[], int] = unix_us,
-        most_open: int = MAX_OPEN,
+        most_open: int = MAX_OPEN_REQUESTS,
         decide: Callable[[i.Settings, int, int], i.Decider] = Router,
     ) -> None:
         self.settings, self.transport, self.members, self.counters = settings, transport, members, counters
@@ -109,16 +114,17 @@
         self.watch: Watch | None = None  # writes a trace, where one is wanted
         self.durable: Durable | None = None  # what lasts over restarts, where the installation has a disk
         # How the list is to be shown to the module, over what `durable` holds back: the operators' orders.
-        self.shown: Callable[[i.MembersChanged, int], i.MembersChanged] | None = None
-        self.told: dict[str, tuple[i.Member, tuple[str, int]]] = {}  # the list as told, before what is held
-        self.lives: dict[str, Life] = {}
+        self.adjust_list: Callable[[i.MembersChanged, int], i.MembersChanged] | None = None
+        # The list as received, before recovery and the operators' orders hold rows back.
+        self.received_rows: dict[str, tuple[i.Member, tuple[str, int]]] = {}
+        self.lifecycles: dict[str, RequestLifecycle] = {}
         self.idle = asyncio.Event()
         self.idle.set()
         self.kinds = {c.name: c for c in settings.classes}
         self.writes = {c.name for c in settings.classes if c.write}
         self.once = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
         self.router = decide(settings, seed, self.now())
-        self.tell()
+        self.handle()
 
     def now(self) -> int:
         """The Unix clock in microseconds, which for the module never goes back."""
@@ -127,7 +133,8 @@
 
     # ---- events in, actions out -------------------------------------------------------------------------
 
-    def tell(self, *events: i.Event) -> None:
+    def handle(self, *events: i.Event) -> None:
+        """Hand the module the events of one instant, and carry out or pass on its actions."""
         now = self.now()
         actions = self.router.handle(now, list(events))
         if self.watch is not None:
@@ -146,8 +153,8 @@
                 )  # fmt: skip
             elif isinstance(action, i.Subscribe | i.AskList):
                 pass  # the coordinator's events come unasked
-            elif life := self.lives.get(action.request):
-                life.mailbox.put(action)
+            elif lifecycle := self.lifecycles.get(action.request):
+                lifecycle.mailbox.put(action)
 
     def _timer(self, at: int, token: str) -> None:
         # A timer never reaches the module early: it would find nothing due and not ask again.
@@ -155,80 +162,86 @@
             asyncio.get_running_loop().call_later((at - self.now()) / 1e6 + 0.0005, self._timer, at, token)
             return
         try:
-            self.tell(i.TimerFired(token))
+            self.handle(i.TimerFired(token))
         except Exception:
             self.counters.add("error.timer")
             log.exception("error on a timer", token=token)
             asyncio.get_running_loop().call_later(RETRY_TIMER_S, self._timer, at, token)
 
     def list_changed(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
+        """The list was received, whole or in part; `addresses` of all rows that are not gone."""
         if event.kind is not i.ListKind.CHANGE:
-            self.told.clear()
+            self.received_rows.clear()
         for m in event.members:
             if m.address in addresses:
-                self.told[m.address] = (m, addresses[m.address])
+                self.received_rows[m.address] = (m, addresses[m.address])
             else:
-                self.told.pop(m.address, None)  # gone: nothing to tell of it again
+                self.received_rows.pop(m.address, None)  # gone: nothing to tell of it again
         if self.durable is not None:
             self.durable.list_told(event, self.now())
             event = self.durable.recovery.seen(event)
-        if self.shown is not None:
-            event = self.shown(event, self.now())
+        if self.adjust_list is not None:
+            event = self.adjust_list(event, self.now())
         self.members.apply(event, addresses)
-        self.tell(event)
+        self.handle(event)
 
-    def retell(self, *names: str) -> None:
+    def resend_rows(self, *names: str) -> None:
         """The list's rows of some members once more: what holds them back has changed."""
-        rows = [self.told[name] for name in names if name in self.told and name in self.members.listed]
+        rows = [
+            self.received_rows[name]
+            for name in names
+            if name in self.received_rows and name in self.members.listed
+        ]
         if rows:
             addresses = {m.address: address for m, address in rows}
             self.list_changed(i.MembersChanged(i.ListKind.CHANGE, tuple(m for m, _ in rows)), addresses)
 
-    def recovered(self, durable: Durable) -> None:
+    def restore(self, durable: Durable) -> None:
         """Take in what lasted: purges that a cache may not have done bind the first request already."""
         self.durable = durable
         for purge in durable.recovery.purges_to_tell(self.now()):
             self.members.purged(purge.group, purge.object, self.now())
-            self.tell(purge)
+            self.handle(purge)
 
-    def heard(self, index: int) -> None:
+    def feed_observed(self, index: int) -> None:
         """The coordinator's feed has been heard up to a number."""
         if self.durable is not None:
             held = list(self.durable.recovery.drains)
             if self.durable.index_told(index, self.now()):
-                self.retell(*held)
+                self.resend_rows(*held)
 
     def purged(self, group: int, name: str | None, at_us: int) -> None:
+        """A purge of the object `name`, or without one of the group, was received; made at `at_us`."""
         if self.durable is not None:
             self.durable.purge_told(group, name, at_us, self.now())
         self.members.purged(group, name, self.now())
-        self.tell(i.Purged(group, name, max(0, self.now() - at_us)))
+        self.handle(i.Purged(group, name, max(0, self.now() - at_us)))
 
     # ---- one request ------------------------------------------------------------------------------------
 
     async def serve(
         self, request: Request, reply: Callable[[Answer], None], transport: Transport | None = None
     ) -> None:
-        """A request's whole life. `reply` is called once, or never if the client has left."""
-        if life := self._take(request, reply, transport):
-            await self._live(life, reply)
+        """A request's whole lifecycle. `reply` is called once, or never if the client has left."""
+        if lifecycle := self._take(request, reply, transport):
+            await self._live(lifecycle, reply)
 
-    def start(self, request: Request, reply: Callable[[Answer], None]) -> Life | None:
+    def start(self, request: Request, reply: Callable[[Answer], None]) -> RequestLifecycle | None:
         """The same beside the caller; None if it has been answered already.
 
-        The life is there at once: a client that takes its request back in the same breath is heard.
+        The lifecycle is there at once: a client that takes its request back in the same breath is heard.
         """
-        life = self._take(request, reply, None)
-        if life is not None:
-            # No set of tasks: the life's mailbox, and through it the task, is held until its end.
-            asyncio.get_running_loop().create_task(self._live(life, reply))
-        return life
+        lifecycle = self._take(request, reply, None)
+        if lifecycle is not None:
+            # No set of tasks: the lifecycle's mailbox, and through it the task, is held until its end.
+            asyncio.get_running_loop().create_task(self._live(lifecycle, reply))
+        return lifecycle
 
     def _take(
         self, request: Request, reply: Callable[[Answer], None], transport: Transport | None
-    ) -> Life | None:
-        if request.id in self.lives or len(self.lives) >= self.most_open:
-            known = request.id in self.lives
+    ) -> RequestLifecycle | None:
+        if request.id in self.lifecycles or len(self.lifecycles) >= self.most_open:
+            known = request.id in self.lifecycles
             self.counters.add("answer.duplicate" if known else "answer.overloaded")
             reply(Answer(Verdict.FAILED if known else Verdict.REFUSED))
             return None
@@ -238,70 +251,71 @@
             self.counters.add("answer.may_have_run")
             reply(Answer(Verdict.FAILED))
             return None
-        life = Life(request, transport=transport)
-        self.lives[request.id] = life
+        lifecycle = RequestLifecycle(request, transport=transport)
+        self.lifecycles[request.id] = lifecycle
         self.idle.clear()
-        return life
+        return lifecycle
 
-    async def _live(self, life: Life, reply: Callable[[Answer], None]) -> None:
-        request = life.request
+    async def _live(self, lifecycle: RequestLifecycle, reply: Callable[[Answer], None]) -> None:
+        request = lifecycle.request
         try:
             try:
                 # What was taken back before it began is no news to the module: it would count as popular.
-                answer = None if life.gone else await self._decide(life)
+                answer = None if lifecycle.client_departed else await self._decide(lifecycle)
             except Exception:
                 # One request's error is that request's failure, never the process's end.
                 self.counters.add("error.request")
                 log.exception("error in a request", request=request.id)
                 answer = Answer(Verdict.FAILED)
                 self._forget(request.id)
-            life.over = True
-            if answer is not None and not life.gone:
+            lifecycle.answered = True
+            if answer is not None and not lifecycle.client_departed:
                 self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
                 reply(answer)
             if self.watch is not None:
-                self.watch.answered(self.now(), request.id, None if life.gone else answer)
-            await self._wind_up(life)
-            if life.intended and self.durable is not None:
+                self.watch.answered(self.now(), request.id, None if lifecycle.client_departed else answer)
+            await self._wind_up(lifecycle)
+            if lifecycle.intended and self.durable is not None:
                 await self.durable.ended(request.id)
         finally:
-            del self.lives[request.id]
-            if not self.lives:
+            del self.lifecycles[request.id]
+            if not self.lifecycles:
                 self.idle.set()
 
     def _forget(self, request: str) -> None:
         """The module has seen the request arrive and would wait for its end."""
         try:
-            self.tell(i.ClientLeft(request))
+            self.handle(i.ClientLeft(request))
         except Exception:
             self.counters.add("error.request")
             log.exception("error in forgetting a request", request=request)
 
-    def leave(self, life: Life) -> None:
-        if not life.gone:
-            life.gone = True
-            life.mailbox.put(Left())
+    def leave(self, lifecycle: RequestLifecycle) -> None:
+        """The client of a request has left: it is owed no answer."""
+        if not lifecycle.client_departed:
+            lifecycle.client_departed = True
+            lifecycle.mailbox.put(ClientDeparted())
 
-    async def _decide(self, life: Life) -> Answer | None:
+    async def _decide(self, lifecycle: RequestLifecycle) -> Answer | None:
         """From arrival to the one final answer; None if the client left before it."""
-        request = life.request
+        request = lifecycle.request
         deadline = request.arrived_us + request.timeout_us
         self.counters.add(f"request.{request.class_name}")
         overdue = asyncio.get_running_loop().call_later(
-            (deadline + OVERDUE_US - self.now()) / 1e6, life.mailbox.put, Left(overdue=True)
+            (deadline + OVERDUE_US - self.now()) / 1e6, lifecycle.mailbox.put, ClientDeparted(overdue=True)
         )
         try:
-            self.tell(self._arrival(request, deadline))
+            self.handle(self._arrival(request, deadline))
             while True:
-                match mail := await life.mailbox.get():
+                match mail := await lifecycle.mailbox.get():
                     case i.Attempt() | i.Fetch():
-                        if self._must_last(life):
-                            await self._intend(life)
-                        self._start(life, mail)
+                        if self._must_last(lifecycle):
+                            await self._intend(lifecycle)
+                        self._start(lifecycle, mail)
                     case i.Cancel(_, number):
-                        self._cancel(life, number)
-                    case Ended(outcome=outcome):
-                        self._report(life, mail)
+                        self._cancel(lifecycle, number)
+                    case AttemptFinished(outcome=outcome):
+                        self._report(lifecycle, mail)
                         if outcome.status is i.Status.OK:
                             return Answer(
                                 Verdict.SERVED,
@@ -314,38 +328,40 @@
                         return Answer(Verdict.REFUSED, retry_after_us=after)
                     case i.Fail():
                         return Answer(Verdict.FAILED)
-                    case Left(late):
+                    case ClientDeparted(late):
                         self.counters.add("request.overdue" if late else "request.left")
-                        self.tell(i.ClientLeft(request.id))
+                        self.handle(i.ClientLeft(request.id))
                         return Answer(Verdict.FAILED) if late else None
         finally:
             overdue.cancel()
 
-    def _must_last(self, life: Life) -> bool:
+    def _must_last(self, lifecycle: RequestLifecycle) -> bool:
         durable = self.durable
-        return durable is not None and durable.bookings and life.request.class_name in self.once
+        return durable is not None and durable.bookings and lifecycle.request.class_name in self.once
 
-    async def _intend(self, life: Life) -> None:
+    async def _intend(self, lifecycle: RequestLifecycle) -> None:
         """The intent of a request that must not run twice is durable before its first byte goes out. An error
         of the store is the request's failure: it was not sent."""
-        if life.intended or self.durable is None:
+        if lifecycle.intended or self.durable is None:
             return
-        await self.durable.intend(life.request.id, self.now())
-        life.intended = True
+        await self.durable.intend(lifecycle.request.id, self.now())
+        lifecycle.intended = True
 
-    async def _wind_up(self, life: Life) -> None:
+    async def _wind_up(self, lifecycle: RequestLifecycle) -> None:
         """After the final answer: every attempt still out ends, and the module is told how."""
-        while any(life.attempts) or life.mailbox.mail:
-            match mail := await life.mailbox.get():
+        while any(lifecycle.attempts) or lifecycle.mailbox.mail:
+            match mail := await lifecycle.mailbox.get():
                 case i.Attempt() | i.Fetch():
-                    life.attempts.append(None)
-                    life.ordered.append(0)
-                    number = len(life.attempts) - 1
-                    self._report(life, Ended(mail.member, number, Outcome(i.Status.NOT_SENT), 0))
+                    lifecycle.attempts.append(None)
+                    lifecycle.ordered_at.append(0)
+                    number = len(lifecycle.attempts) - 1
+                    self._report(
+                        lifecycle, AttemptFinished(mail.member, number, Outcome(i.Status.NOT_SENT), 0)
+                    )
                 case i.Cancel(_, number):
-                    self._cancel(life, number)
-                case Ended():
-                    self._report(life, mail)
+                    self._cancel(lifecycle, number)
+                case AttemptFinished():
+                    self._report(lifecycle, mail)
                 case _:
                     pass  # the client's leaving, or a second thought: the answer has gone out
 
@@ -365,43 +381,45 @@
 
     # ---- attempts ---------------------------------------------------------------------------------------
 
-    def _start(self, life: Life, action: i.Attempt | i.Fetch) -> None:
-        number, begun = len(life.attempts), self.now()
-        order = self._order(life, action, number)
-        life.ordered.append(begun)
-        task = asyncio.get_running_loop().create_task((life.transport or self.transport).run(order))
-        life.attempts.append(task)
+    def _start(self, lifecycle: RequestLifecycle, action: i.Attempt | i.Fetch) -> None:
+        number, begun = len(lifecycle.attempts), self.now()
+        order = self._order(lifecycle, action, number)
+        lifecycle.ordered_at.append(begun)
+        task = asyncio.get_running_loop().create_task((lifecycle.transport or self.transport).run(order))
+        lifecycle.attempts.append(task)
         self.counters.add("attempt.sent")
         # Not an await around `run`: a task cancelled before its first step would leave no outcome.
-        task.add_done_callback(partial(self._ended, life, order, number, begun))
+        task.add_done_callback(partial(self._ended, lifecycle, order, number, begun))
 
-    def may_send(self, life: Life, number: int, member: str, source: str | None, decided: int) -> bool:
+    def may_send(
+        self, lifecycle: RequestLifecycle, number: int, member: str, source: str | None, decided: int
+    ) -> bool:
         """The one guard at the moment of an attempt's send, however long it waited for a connection, a
         durable intent or room in a socket: is it still wanted, may it be a repeat, is its way still open?"""
-        if life.gone or life.over or not self.may_repeat(life, number):
+        if lifecycle.client_departed or lifecycle.answered or not self.may_repeat(lifecycle, number):
             return False
-        return self.members.still_good(member, source, life.request, decided)
+        return self.members.is_still_valid(member, source, lifecycle.request, decided)
 
-    def may_repeat(self, life: Life, number: int) -> bool:
+    def may_repeat(self, lifecycle: RequestLifecycle, number: int) -> bool:
         """May an attempt go out beside or after the earlier ones of its request that may have run?"""
-        kind = self.kinds.get(life.request.class_name)
+        kind = self.kinds.get(lifecycle.request.class_name)
         if kind is None or kind.repeat is i.Repeat.SAFE:
             return True
-        ran = [at for at in life.ordered[:number] if at]
+        ran = [at for at in lifecycle.ordered_at[:number] if at]
         if not ran:
             return True
         # A repeat by key is safe for a while after the first send; it must have arrived whole by then.
         margin = 2 * self.settings.tick_us
         return kind.repeat is i.Repeat.KEYED and self.now() - min(ran) < kind.window_us - margin
 
-    def _order(self, life: Life, action: i.Attempt | i.Fetch, number: int) -> Order:
-        request = life.request
+    def _order(self, lifecycle: RequestLifecycle, action: i.Attempt | i.Fetch, number: int) -> Order:
+        request = lifecycle.request
         decided, left = self.now(), request.arrived_us + request.timeout_us - self.now()
         timeout = min(left, action.timeout_us) if action.timeout_us else left
         alone = request.class_name in self.once
         if isinstance(action, i.Attempt):
-            good = partial(self.may_send, life, number, action.member, None, decided)
-            return Order(request, action.member, timeout, alone=alone, still_good=good)
+            good = partial(self.may_send, lifecycle, number, action.member, None, decided)
+            return Order(request, action.member, timeout, alone=alone, is_still_valid=good)
         source = None if action.source == action.member else action.source
         return Order(
             request,
@@ -412,34 +430,38 @@
             action.max_age_us,
             action.flags,
             alone,
-            partial(self.may_send, life, number, action.member, source, decided),
+            partial(self.may_send, lifecycle, number, action.member, source, decided),
         )
 
-    def _cancel(self, life: Life, number: int) -> None:
-        if 0 <= number < len(life.attempts) and (task := life.attempts[number]):
+    def _cancel(self, lifecycle: RequestLifecycle, number: int) -> None:
+        if 0 <= number < len(lifecycle.attempts) and (task := lifecycle.attempts[number]):
             task.cancel()
 
-    def _ended(self, life: Life, order: Order, number: int, begun: int, task: asyncio.Task[Outcome]) -> None:
-        life.attempts[number] = None
+    def _ended(
+        self, lifecycle: RequestLifecycle, order: Order, number: int, begun: int, task: asyncio.Task[Outcome]
+    ) -> None:
+        lifecycle.attempts[number] = None
         if task.cancelled():
             outcome = Outcome(i.Status.CANCELLED)
         elif error := task.exception():
             self.counters.add("error.attempt")
-            log.error("error in an attempt", request=life.request.id, exc_info=error)
+            log.error("error in an attempt", request=lifecycle.request.id, exc_info=error)
             outcome = Outcome(i.Status.ERROR)
         else:
             outcome = task.result()
         if outcome.status.proves_unrun:
-            life.ordered[number] = 0
-        life.mailbox.put(Ended(order.member, number, outcome, self.now() - begun, order.sent_us))
+            lifecycle.ordered_at[number] = 0
+        lifecycle.mailbox.put(
+            AttemptFinished(order.member, number, outcome, self.now() - begun, order.sent_us)
+        )
 
-    def _report(self, life: Life, ended: Ended) -> None:
+    def _report(self, lifecycle: RequestLifecycle, ended: AttemptFinished) -> None:
         outcome = ended.outcome
         # What nobody saw the end of is told as a cancelled attempt: it may have run, and teaches nothing.
-        status = i.Status.CANCELLED if outcome.untold else outcome.status
+        status = i.Status.CANCELLED if outcome.unobserved else outcome.status
         self.counters.add(f"outcome.{status.value}")
         event = i.AttemptEnded(
-            request=life.request.id,
+            request=lifecycle.request.id,
             attempt=ended.number,
             member=ended.member,
             status=status,
@@ -451,4 +473,4 @@
         )
         if self.watch is not None:
             self.watch.ended(self.now(), event, ended.sent_us, outcome)
-        self.tell(event)
+        self.handle(event)
--- a/onyxwick/core/members.py
+++ b/onyxwick/core/members.py
@@ -1,4 +1,4 @@
-"""The list as last told: where each member is, and what a send must look at again right before it."""
+"""The list as last received: where each member is, and what a send must check again right before it."""
 
 from __future__ import annotations
 
@@ -17,12 +17,13 @@
         self.listed: dict[str, i.Member] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.loaded = False
-        self.watchers: list[Callable[[str], None]] = []  # told of each member that left or started anew
-        self.purges: dict[tuple[int | None, str | None], int] = {}  # when each was told
-        # Left out by the operators: nothing is sent to them from the moment this is set, from any thread.
-        self.held: frozenset[str] = frozenset()
+        self.watchers: list[Callable[[str], None]] = []  # called for each member that left or restarted
+        self.purge_times: dict[tuple[int | None, str | None], int] = {}  # when each was received
+        # Excluded by the operators: nothing is sent to them from the moment this is set, from any thread.
+        self.excluded: frozenset[str] = frozenset()
 
     def apply(self, event: i.MembersChanged, addresses: dict[str, tuple[str, int]]) -> None:
+        """Take in a change of the list, or all of it; `addresses` has those of all rows that are not gone."""
         if event.kind is not i.ListKind.CHANGE:
             named = {m.address for m in event.members}
             for member in [m for m in self.listed if m not in named]:
@@ -48,16 +49,21 @@
             watcher(member)
 
     def purged(self, group: int, name: str | None, now: int) -> None:
-        self.purges = {k: at for k, at in self.purges.items() if at > now - PURGES_KEPT_US}
-        self.purges[(group, None) if name is None else (None, name)] = now
+        """A purge of one object or of a group was received: what was decided before it may not be sent."""
+        self.purge_times = {k: at for k, at in self.purge_times.items() if at > now - PURGES_KEPT_US}
+        self.purge_times[(group, None) if name is None else (None, name)] = now
 
     def ready(self, member: str) -> bool:
+        """May new work be sent to a member?"""
         listed = self.listed.get(member)
-        return listed is not None and listed.state is i.State.READY and member not in self.held
+        return listed is not None and listed.state is i.State.READY and member not in self.excluded
 
-    def still_good(self, member: str, source: str | None, request: Request, decided: int) -> bool:
-        """May what was decided then be sent now? A drain or a purge may have been told in between."""
+    def is_still_valid(self, member: str, source: str | None, request: Request, decided: int) -> bool:
+        """May what was decided then be sent now? A drain or a purge may have been received in between."""
         if not self.ready(member) or (source is not None and not self.ready(source)):
             return False
-        told = (self.purges.get((request.group, None), 0), self.purges.get((None, request.object), 0))
-        return max(told) <= decided
+        received = (
+            self.purge_times.get((request.group, None), 0),
+            self.purge_times.get((None, request.object), 0),
+        )
+        return max(received) <= decided
--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -39,6 +39,8 @@
 
 @dataclass(slots=True)
 class Answer:
+    """The one final answer to a request; `member` gave it, if any did."""
+
     verdict: Verdict
     body: bytes = b""
     tag: str = ""
@@ -59,13 +61,15 @@
     max_age_us: int = 0
     flags: i.FillFlag = i.FillFlag.NONE
     alone: bool = False  # must not run twice: it is to share its fate with no other attempt
-    still_good: Callable[[], bool] = field(default=lambda: True, compare=False)
+    is_still_valid: Callable[[], bool] = field(default=lambda: True, compare=False)
     """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
     sent_us: int = 0  # Unix us at which its first byte went out, once the transport knows; 0: not sent
 
 
 @dataclass(slots=True)
 class Outcome:
+    """How an attempt ended, with the answer's body and tag where it brought one."""
+
     status: i.Status
     detail: i.Detail = i.Detail.NONE
     waited_us: int = 0
@@ -74,10 +78,12 @@
     tag: str = ""
     unchanged: bool = False
     dated_us: int = 0  # Unix us at which the origin gave the copy out; 0: not told
-    untold: bool = False  # nobody saw how it ended: the module must learn nothing from it
+    unobserved: bool = False  # nobody saw how it ended: the module must learn nothing from it
 
 
 class Transport(Protocol):
     """Carries out attempts. Cancelling `run` gives the attempt up."""
 
-    async def run(self, order: Order) -> Outcome: ...
+    async def run(self, order: Order) -> Outcome:
+        """Carry out one attempt until its end or its time-out."""
+        ...
--- a/onyxwick/core/pacing.py
+++ b/onyxwick/core/pacing.py
@@ -1,4 +1,4 @@
-"""How directors that restart together come back without asking for everything at once. No I/O.
+"""How directors that restart together reconnect without asking for everything at once. No I/O.
 
 Each draws its own delays from its seed, and raises its limits step by step: of many, no more than a few do
 the same at the same time, with no talk between them.
@@ -9,44 +9,49 @@
 import random
 from dataclasses import dataclass
 
+MAX_DOUBLINGS = 20
+
 
 @dataclass(frozen=True, slots=True)
-class Pace:
-    """`spread_us`: over how long the first calls of all directors are spread; `rise_us`: from a start to full
-    limits; `first`: the share of the limits at the start; `most_us`: of one delay between attempts."""
+class BackoffPolicy:
+    """`spread_us`: over how long the first connections of all directors are spread; `rise_us`: from a start
+    to full limits; `initial_share`: of the limits at the start; `max_delay_us`: between two attempts."""
 
     spread_us: int = 2_000_000
     rise_us: int = 10_000_000
-    first: float = 0.2
-    most_us: int = 8_000_000
+    initial_share: float = 0.2
+    max_delay_us: int = 8_000_000
 
 
-class Comeback:
-    """One director's way back to full limits."""
+class ReconnectBackoff:
+    """Exponential backoff with jitter, and one director's way back to its full limits. All times in us."""
 
-    def __init__(self, seed: int, now: int, pace: Pace, directors: int) -> None:
+    def __init__(self, seed: int, now: int, policy: BackoffPolicy, directors: int) -> None:
         self.random = random.Random(seed)
-        self.pace, self.begun = pace, now
+        self.policy, self.started_at = policy, now
         # Alone there is nobody to wait for; the wait grows with the number that may do the same.
         share = 1 - 1 / max(1, directors)
-        self.wait_us = int(pace.spread_us * share * self.random.random())
-        self.tries = 0
+        self.wait_us = int(policy.spread_us * share * self.random.random())
+        self.attempts = 0
 
-    def may_call(self, now: int) -> bool:
-        """May the first call for the list and the archive's first fills be made?"""
-        return now - self.begun >= self.wait_us
+    def may_connect(self, now: int) -> bool:
+        """May the first call for the list and the origin's first fills be made?"""
+        return now - self.started_at >= self.wait_us
 
     def share(self, now: int) -> float:
         """Of its usual limits that a director allows itself at a time."""
-        passed = max(0, now - self.begun - self.wait_us)
-        return min(1.0, self.pace.first + (1 - self.pace.first) * passed / max(1, self.pace.rise_us))
-
-    def next_try_us(self, base_us: int) -> int:
-        """How long to wait after another failed call: doubled each time, up to a bound, drawn evenly below it
-        ("full jitter": Brooker 2015), so that those that failed together do not come again together."""
-        self.tries = min(self.tries + 1, 20)
-        most = min(self.pace.most_us, base_us << (self.tries - 1))
+        policy = self.policy
+        passed = max(0, now - self.started_at - self.wait_us)
+        risen = (1 - policy.initial_share) * passed / max(1, policy.rise_us)
+        return min(1.0, policy.initial_share + risen)
+
+    def next_delay_us(self, base_us: int) -> int:
+        """How long to wait after another failed attempt: doubled each time, up to a bound, drawn evenly below
+        it ("full jitter": Brooker 2015), so that those that failed together do not return together."""
+        self.attempts = min(self.attempts + 1, MAX_DOUBLINGS)
+        most = min(self.policy.max_delay_us, base_us << (self.attempts - 1))
         return int(self.random.uniform(0.1, 1.0) * most)
 
-    def heard(self) -> None:
-        self.tries = 0
+    def reset(self) -> None:
+        """A connection has worked: the next delay is short again."""
+        self.attempts = 0
--- a/onyxwick/distribution/codec.py
+++ b/onyxwick/distribution/codec.py
@@ -15,16 +15,16 @@
 from onyxwick.distribution.model import (
     MAX_LINE_BYTES,
     Announcement,
-    BadPayload,
     CacheListChange,
     CacheRow,
     Cursor,
     DocumentPart,
     Event,
     Freshness,
-    MalformedLine,
+    MalformedLineError,
     Message,
     Payload,
+    PayloadError,
     PurgeEvent,
     PurgeKey,
     SnapshotBegin,
@@ -37,17 +37,17 @@
 
 
 def decode(line: bytes) -> Message:
-    """The message of one line, an unreadable payload as UnknownPayload; MalformedLine where it is none."""
+    """The message of one line, an unreadable payload as UnknownPayload; MalformedLineError if it is none."""
     if len(line) > MAX_LINE_BYTES:
-        raise MalformedLine(f"a line of {len(line)} bytes")
+        raise MalformedLineError(f"a line of {len(line)} bytes")
     try:
         value = ujson.loads(line)
     except ValueError as error:
-        raise MalformedLine(f"no JSON: {error}") from None
+        raise MalformedLineError(f"no JSON: {error}") from None
     if _is_whole(value):
         return Announcement(Cursor.unpack(value))
     if not isinstance(value, dict) or not _is_whole(value.get("index")):
-        raise MalformedLine("neither a number nor an object with 'index'")
+        raise MalformedLineError("neither a number nor an object with 'index'")
     cursor = Cursor.unpack(value["index"])
     if "published_ms" in value:
         return _freshness(cursor, value["published_ms"])
@@ -56,7 +56,7 @@
     whole_line = line.rstrip(b"\n") + b"\n"  # relays pass it on as it came
     try:
         return Event(cursor, _payload(value), whole_line)
-    except BadPayload as error:
+    except PayloadError as error:
         return Event(cursor, UnknownPayload(str(error)), whole_line)
 
 
@@ -66,7 +66,7 @@
 
 def _freshness(cursor: Cursor, value: Any) -> Freshness:
     if not _is_whole(value) or value < 0:
-        raise MalformedLine("field 'published_ms' is no whole number from 0")
+        raise MalformedLineError("field 'published_ms' is no whole number from 0")
     return Freshness(cursor, value)
 
 
@@ -75,7 +75,7 @@
         return SnapshotEnd(cursor, value["digest"])
     if isinstance(value, dict) and _is_whole(value.get("lines")) and value["lines"] >= 0:
         return SnapshotBegin(cursor, value["lines"])
-    raise MalformedLine("field 'snapshot' is no object with 'lines' or 'digest'")
+    raise MalformedLineError("field 'snapshot' is no object with 'lines' or 'digest'")
 
 
 def _payload(value: dict[str, Any]) -> Payload:
@@ -85,39 +85,39 @@
         return _purge(_object(value, "evict"))
     if "document" in value:
         return _document_part(_object(value, "document"))
-    raise BadPayload(f"no known payload among {sorted(value)[:8]}")
+    raise PayloadError(f"no known payload among {sorted(value)[:8]}")
 
 
 def _object(value: dict[str, Any], name: str) -> dict[str, Any]:
     inner = value[name]
     if not isinstance(inner, dict):
-        raise BadPayload(f"field '{name}' is no object")
+        raise PayloadError(f"field '{name}' is no object")
     return inner
 
 
 def _whole(value: dict[str, Any], name: str) -> int:
     inner = value.get(name)
     if not isinstance(inner, int) or isinstance(inner, bool) or inner < 0:
-        raise BadPayload(f"field '{name}' is no whole number from 0")
+        raise PayloadError(f"field '{name}' is no whole number from 0")
     return inner
 
 
 def _text(value: dict[str, Any], name: str) -> str:
     inner = value.get(name)
     if not isinstance(inner, str):
-        raise BadPayload(f"field '{name}' is no text")
+        raise PayloadError(f"field '{name}' is no text")
     return inner
 
 
 def _cache_list(value: dict[str, Any]) -> CacheListChange:
     servers = value.get("servers")
     if not isinstance(servers, list) or not all(isinstance(row, dict) for row in servers):
-        raise BadPayload("field 'servers' is no list of objects")
+        raise PayloadError("field 'servers' is no list of objects")
     rows = []
     for row in servers:
         state = row.get("state")
         if row.get("id") is None or state not in _CACHE_STATES:
-            raise BadPayload(f"a cache without an id, or in state {state!r}")
+            raise PayloadError(f"a cache without an id, or in state {state!r}")
         rows.append(CacheRow(str(row["id"]), state == GONE, row))
     version = value.get("version") or 0
     return CacheListChange(tuple(rows), bool(value.get("full")), version if _is_whole(version) else 0)
@@ -140,7 +140,7 @@
         text=_text(value, "text"),
     )
     if part.part >= part.parts:
-        raise BadPayload(f"part {part.part} of {part.parts}")
+        raise PayloadError(f"part {part.part} of {part.parts}")
     return part
 
 
@@ -191,10 +191,10 @@
 
 
 def decode_follow(line: bytes) -> Cursor:
-    """The cursor that a subscriber resumes from; MalformedLine where the line is no `follow N`."""
+    """The cursor that a subscriber resumes from; MalformedLineError where the line is no `follow N`."""
     words = line.split()
     if len(words) != 2 or words[0] != b"follow" or not words[1].isdigit() or len(words[1]) > 19:
-        raise MalformedLine("no line 'follow N'")
+        raise MalformedLineError("no line 'follow N'")
     return Cursor.unpack(int(words[1]))
 
 
--- a/onyxwick/distribution/documents.py
+++ b/onyxwick/distribution/documents.py
@@ -12,13 +12,13 @@
     DistributionError,
     Document,
     DocumentPart,
-    PublishRefused,
+    PublishRefusedError,
 )
 
 DIGEST_BYTES = 16
 
 
-class BadDocument(DistributionError):
+class DocumentError(DistributionError):
     """A part that fits no document: wrong order, size or digest."""
 
 
@@ -28,10 +28,10 @@
 
 
 def split(name: str, version: int, text: str) -> list[DocumentPart]:
-    """The parts of a document; PublishRefused where it is too large."""
+    """The parts of a document; PublishRefusedError where it is too large."""
     size = len(text.encode())
     if size > MAX_DOCUMENT_BYTES:
-        raise PublishRefused(f"document '{name}' has {size} bytes, {MAX_DOCUMENT_BYTES} at most")
+        raise PublishRefusedError(f"document '{name}' has {size} bytes, {MAX_DOCUMENT_BYTES} at most")
     # A character has four bytes at most: parts are cut by characters, so that each is valid by itself.
     step = PART_BYTES // 4 if size > len(text) else PART_BYTES
     texts = [text[at : at + step] for at in range(0, len(text), step)] or [""]
@@ -55,18 +55,18 @@
         self._partial: dict[str, _Partial] = {}
 
     def add(self, part: DocumentPart) -> Document | None:
-        """The whole document with its last part; BadDocument (and nothing kept) where a part does not fit."""
+        """The whole document with its last part; DocumentError (and nothing kept) if a part does not fit."""
         partial = self._partial.get(part.name)
         if part.part == 0:
             partial = self._begin(part)
         if partial is None or not self._fits(partial, part):
             self._partial.pop(part.name, None)
-            raise BadDocument(f"part {part.part} of document '{part.name}' fits nothing before it")
+            raise DocumentError(f"part {part.part} of document '{part.name}' fits nothing before it")
         partial.texts.append(part.text)
         partial.size += len(part.text.encode())
         if partial.size > MAX_DOCUMENT_BYTES:
             del self._partial[part.name]
-            raise BadDocument(f"document '{part.name}' is over {MAX_DOCUMENT_BYTES} bytes")
+            raise DocumentError(f"document '{part.name}' is over {MAX_DOCUMENT_BYTES} bytes")
         if len(partial.texts) < partial.parts:
             return None
         return self._finish(part.name)
@@ -81,9 +81,9 @@
 
     def _begin(self, part: DocumentPart) -> _Partial:
         if part.name not in self._partial and len(self._partial) >= MAX_DOCUMENTS:
-            raise BadDocument(f"over {MAX_DOCUMENTS} documents are unfinished")
+            raise DocumentError(f"over {MAX_DOCUMENTS} documents are unfinished")
         if part.parts > MAX_DOCUMENT_BYTES // (PART_BYTES // 4) + 1:
-            raise BadDocument(f"document '{part.name}' has {part.parts} parts")
+            raise DocumentError(f"document '{part.name}' has {part.parts} parts")
         partial = self._partial[part.name] = _Partial(part.version, part.digest, part.parts)
         return partial
 
@@ -96,5 +96,5 @@
         partial = self._partial.pop(name)
         text = "".join(partial.texts)
         if digest_of(text) != partial.digest:
-            raise BadDocument(f"document '{name}' does not have the digest that its parts name")
+            raise DocumentError(f"document '{name}' does not have the digest that its parts name")
         return Document(name, partial.version, partial.digest, text)
--- a/onyxwick/distribution/fanout.py
+++ b/onyxwick/distribution/fanout.py
@@ -12,7 +12,7 @@
 
 from onyxwick.distribution.admission import Admission, AdmissionLimits
 from onyxwick.distribution.codec import encode_announcement, encode_freshness
-from onyxwick.distribution.model import ORIGIN, Cursor, Freshness, IllegalTransition
+from onyxwick.distribution.model import ORIGIN, Cursor, Freshness, IllegalTransitionError
 from onyxwick.distribution.replica import Replica
 
 S_US = 1_000_000
@@ -65,9 +65,9 @@
     progress_at: int = 0
 
     def enter(self, state: SubscriberState) -> None:
-        """Change the state; IllegalTransition where the table does not allow it."""
+        """Change the state; IllegalTransitionError where the table does not allow it."""
         if state not in TRANSITIONS[self.state]:
-            raise IllegalTransition(f"from {self.state.value} to {state.value}")
+            raise IllegalTransitionError(f"from {self.state.value} to {state.value}")
         self.state = state
 
 
--- a/onyxwick/distribution/follower.py
+++ b/onyxwick/distribution/follower.py
@@ -19,8 +19,8 @@
     Cursor,
     Event,
     Freshness,
-    IllegalTransition,
-    MalformedLine,
+    IllegalTransitionError,
+    MalformedLineError,
     Payload,
     PurgeEvent,
     SnapshotBegin,
@@ -205,7 +205,7 @@
         self.deadline = now + self.limits.silence_us
         try:
             message = decode(line)
-        except MalformedLine:
+        except MalformedLineError:
             return self._malformed(now)
         if self.state is FollowerState.LOADING and not isinstance(message, SnapshotBegin | SnapshotEnd):
             return self._loading(now, message, line)
@@ -233,7 +233,7 @@
 
     def _enter(self, state: FollowerState, deadline: int | None) -> None:
         if state not in TRANSITIONS[self.state]:
-            raise IllegalTransition(f"from {self.state.value} to {state.value}")
+            raise IllegalTransitionError(f"from {self.state.value} to {state.value}")
         self.state, self.deadline = state, deadline
 
     def _connect(self, now: int) -> Sequence[Action]:
--- a/onyxwick/distribution/model.py
+++ b/onyxwick/distribution/model.py
@@ -25,27 +25,27 @@
     """Base of all errors of this package."""
 
 
-class MalformedLine(DistributionError):
+class MalformedLineError(DistributionError):
     """A line that is no message of the feed."""
 
 
-class BadPayload(DistributionError):
+class PayloadError(DistributionError):
     """The payload of an event with a valid number cannot be read."""
 
 
-class FeedGap(DistributionError):
+class FeedGapError(DistributionError):
     """An event's number is not the one after the cursor."""
 
 
-class StepBack(DistributionError):
+class StepBackError(DistributionError):
     """A snapshot is older than what the follower has, or belongs to an earlier history."""
 
 
-class IllegalTransition(DistributionError):
+class IllegalTransitionError(DistributionError):
     """A state machine was asked for a transition that its table does not have."""
 
 
-class PublishRefused(DistributionError):
+class PublishRefusedError(DistributionError):
     """The publisher does not take an event; the text names the bound or the field."""
 
 
@@ -67,9 +67,9 @@
 
     @classmethod
     def unpack(cls, packed: int) -> Cursor:
-        """The cursor of an `index`; MalformedLine outside 0 to 2^63 - 1."""
+        """The cursor of an `index`; MalformedLineError outside 0 to 2^63 - 1."""
         if not 0 <= packed <= (MAX_HISTORY << HISTORY_BITS) | MAX_NUMBER:
-            raise MalformedLine(f"number {packed} is out of range")
+            raise MalformedLineError(f"number {packed} is out of range")
         return cls(packed >> HISTORY_BITS, packed & MAX_NUMBER)
 
     def following(self) -> Cursor:
--- a/onyxwick/distribution/publisher.py
+++ b/onyxwick/distribution/publisher.py
@@ -20,7 +20,7 @@
     DocumentPart,
     Event,
     Payload,
-    PublishRefused,
+    PublishRefusedError,
     PurgeEvent,
 )
 from onyxwick.distribution.replica import MAX_PURGES, Replica
@@ -52,7 +52,7 @@
         self._allowance, self._filled_at = self.limits.bulk_burst_bytes, now
 
     def submit(self, payload: PurgeEvent | CacheListChange, now_ms: int) -> None:
-        """Queue a purge or a change of the list; PublishRefused (and nothing queued) over a bound."""
+        """Queue a purge or a change of the list; PublishRefusedError (and nothing queued) over a bound."""
         if len(self.urgent) >= self.limits.queued:
             raise self._refuse("queue", f"{len(self.urgent)} events are queued, {self.limits.queued} at most")
         if isinstance(payload, PurgeEvent):
@@ -99,9 +99,9 @@
         if len(table) + len(self.urgent) >= self.limits.purges and purge.key not in table.times:
             raise self._refuse("purges", f"{self.limits.purges} purges are binding, no more at once")
 
-    def _refuse(self, bound: str, text: str) -> PublishRefused:
+    def _refuse(self, bound: str, text: str) -> PublishRefusedError:
         self.counts[f"refused.{bound}"] += 1
-        return PublishRefused(text)
+        return PublishRefusedError(text)
 
     def _newest(self, name: str) -> tuple[int, str]:
         if name in self._versions:
--- a/onyxwick/distribution/replica.py
+++ b/onyxwick/distribution/replica.py
@@ -12,7 +12,7 @@
     encode_snapshot_begin,
     encode_snapshot_end,
 )
-from onyxwick.distribution.documents import Assembler, BadDocument, split
+from onyxwick.distribution.documents import Assembler, DocumentError, split
 from onyxwick.distribution.model import (
     MAX_DOCUMENTS,
     ORIGIN,
@@ -22,11 +22,11 @@
     Document,
     DocumentPart,
     Event,
-    FeedGap,
+    FeedGapError,
     Payload,
     PurgeEvent,
     PurgeKey,
-    StepBack,
+    StepBackError,
 )
 
 LOG_BYTES = 4_194_304
@@ -86,7 +86,7 @@
         self.assembler = Assembler()
 
     def apply(self, payload: Payload) -> Document | None:
-        """Take one payload in; the document that it completes, if any. BadDocument: a part out of place."""
+        """Take one payload in; the document that it completes, if any. DocumentError: a part out of place."""
         if isinstance(payload, PurgeEvent):
             self.purges.add(payload)
             return None
@@ -110,7 +110,7 @@
         if document is None:
             return None
         if document.name not in self.documents and len(self.documents) >= MAX_DOCUMENTS:
-            raise BadDocument(f"over {MAX_DOCUMENTS} documents")
+            raise DocumentError(f"over {MAX_DOCUMENTS} documents")
         self.documents[document.name] = document
         return document
 
@@ -138,9 +138,9 @@
         return self.last.number - len(self.lines) + 1
 
     def append(self, event: Event) -> None:
-        """The next event; FeedGap if it is not the next one."""
+        """The next event; FeedGapError if it is not the next one."""
         if event.cursor != self.last.following():
-            raise FeedGap(f"event {event.cursor} after {self.last}")
+            raise FeedGapError(f"event {event.cursor} after {self.last}")
         self.lines.append(event.line)
         self.size += len(event.line)
         self.last = event.cursor
@@ -195,19 +195,19 @@
         return self.log.last
 
     def apply(self, event: Event, now_ms: int) -> Document | None:
-        """Take in the next event; the document that it completes, if any. FeedGap out of order."""
+        """Take in the next event; the document that it completes, if any. FeedGapError out of order."""
         self.log.append(event)
         self.state.purges.expire(now_ms)
         try:
             return self.state.apply(event.payload)
-        except BadDocument:
+        except DocumentError:
             self.bad_documents += 1  # its number counts all the same: the next version mends it
             return None
 
     def install(self, snapshot: Snapshot) -> None:
-        """Replace the state by a snapshot's; StepBack if it is older than what is held."""
+        """Replace the state by a snapshot's; StepBackError if it is older than what is held."""
         if snapshot.cursor < self.cursor:
-            raise StepBack(f"snapshot of {snapshot.cursor} under {self.cursor}")
+            raise StepBackError(f"snapshot of {snapshot.cursor} under {self.cursor}")
         self.state = _state_of(snapshot.payloads, self.retention_ms)
         self.log.restart(snapshot.cursor)
         self._snapshot = None
--- a/onyxwick/dns/naming.py
+++ b/onyxwick/dns/naming.py
@@ -23,9 +23,9 @@
     """
 
     async def run(self, order: Order) -> Outcome:
-        if not order.still_good():
+        if not order.is_still_valid():
             return Outcome(i.Status.NOT_SENT)
-        return Outcome(i.Status.OK, untold=True)
+        return Outcome(i.Status.OK, unobserved=True)
 
 
 def read_name(labels: tuple[str, ...], classes: dict[str, i.RequestClass]) -> tuple[str, str, int] | None:
--- a/onyxwick/door/bridge.py
+++ b/onyxwick/door/bridge.py
@@ -54,7 +54,7 @@
             return
         if read is not None:
             self.orders = self.applied = read[0]
-            self.members.held = read[0].held
+            self.members.excluded = read[0].held
             self.known.add(read[1])
             log.info("orders of a predecessor", version=read[0].version, held=len(read[0].held))
 
@@ -70,7 +70,7 @@
 
     def ordered(self, orders: o.Orders, known: list[str]) -> None:
         self.orders = orders
-        self.members.held = orders.held  # from here on, no send to a cache left out
+        self.members.excluded = orders.held  # from here on, no send to a cache left out
         if self.loop is not None:
             self.loop.call_soon_threadsafe(self._take_up, known)
 
@@ -82,7 +82,7 @@
         self.applied = after
         names = o.changed(before, after)
         if names:
-            self.core.retell(*names)
+            self.core.resend_rows(*names)
             log.info("caches left out", held=sorted(after.held)[:16], changed=sorted(names)[:16])
         if before.drained is not after.drained:
             self.drained(after.drained)
@@ -91,7 +91,10 @@
         """The figures as they are now, for the door to show."""
         decider = self.core.router
         self.published = figures(
-            self.counters.counts.copy(), len(self.core.lives), len(self.members.listed), decider.ejected()
+            self.counters.counts.copy(),
+            len(self.core.lifecycles),
+            len(self.members.listed),
+            decider.ejected(),
         )
 
 
--- a/onyxwick/lab/scale/hollow.py
+++ b/onyxwick/lab/scale/hollow.py
@@ -177,10 +177,10 @@
         """Sizes of what a director keeps: each has to have a bound that does not depend on its product with
         another."""
         out = {
-            "purge_times": len(self.core.members.purges),
+            "purge_times": len(self.core.members.purge_times),
             "router_purges": len(self.core.router.marks) if hasattr(self.core.router, "marks") else 0,
             "caches": len(self.core.members.listed),
-            "requests": len(self.core.lives),
+            "requests": len(self.core.lifecycles),
         }
         if self.feed is not None:
             out |= {"feed_purges": len(self.feed.purges), "documents": len(self.feed.versions)}
--- a/onyxwick/lab/scale/processes.py
+++ b/onyxwick/lab/scale/processes.py
@@ -90,9 +90,11 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport for answers."""
         self.transport = cast("asyncio.Transport", transport)  # uvloop's own does not inherit from it
 
     def data_received(self, data: bytes) -> None:
+        """Answer each whole request."""
         assert self.transport is not None
         self.parser.buffer.feed(data)
         for words in self.parser.messages():
--- a/onyxwick/lab/scale/sweeps.py
+++ b/onyxwick/lab/scale/sweeps.py
@@ -57,6 +57,7 @@
         self.now = START
 
     def __call__(self) -> int:
+        """The time now."""
         return self.now
 
 
@@ -71,7 +72,7 @@
 class EventsOnly(Core):
     """A core that is told events outside an event loop: timers are driven by hand."""
 
-    def tell(self, *events: i.Event) -> None:
+    def handle(self, *events: i.Event) -> None:
         """Hand events to the module; it is given its timers at the next event."""
         self.router.handle(self.now(), list(events))
 
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -127,7 +127,7 @@
             lasting(os.environ.get("TMPDIR"), self.config.name),
         )
         bridge.recall()
-        self.core.shown = bridge.shown
+        self.core.adjust_list = bridge.shown
         return bridge
 
     def is_ready(self) -> bool:
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -168,7 +168,7 @@
         request_id, now = order.request.id.encode(), time.monotonic()
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         call = Call(request_id, Parcel(b""), future, now, order.request.held_tag, order.alone)
-        call.parcel = Parcel(request_bytes(order), order.still_good, lambda: self._dropped(call))
+        call.parcel = Parcel(request_bytes(order), order.is_still_valid, lambda: self._dropped(call))
         self.calls[request_id] = call
         self.used_at = now
         self.outbox.post(call.parcel)
@@ -305,7 +305,7 @@
 
     async def run(self, order: Order) -> Outcome:
         address = self.members.addresses.get(order.member)
-        if address is None or order.timeout_us <= 0 or not order.still_good():
+        if address is None or order.timeout_us <= 0 or not order.is_still_valid():
             return Outcome(i.Status.NOT_SENT)
         try:
             link = self._link(order, address)
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -13,15 +13,17 @@
 from onyxwick import logs
 from onyxwick.config.address import read_address
 from onyxwick.core import Core
-from onyxwick.core.pacing import Comeback, Pace
+from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer
 
 log = logs.get()
 SILENT_S = 2.2  # a line comes each second: without one for so long the connection is broken
 CONNECT_S = 0.8  # with the silence before it under the 4 s after which an event counts as told
-AGAIN_US = 100_000  # the first wait after a failed or lost connection; the next ones doubled, drawn below
-AGAIN_MOST_US = 1_000_000  # a wait at most: with a connect and a silence, the feed is back well within 4 s
+FIRST_RETRY_US = (
+    100_000  # the first wait after a failed or lost connection; the next ones doubled, drawn below
+)
+MAX_RETRY_US = 1_000_000  # a wait at most: with a connect and a silence, the feed is back well within 4 s
 MAX_LINE = 4_194_304
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
@@ -50,15 +52,15 @@
 class Coordinator:
     """Follows the coordinator's feed and hands its events to the core.
 
-    `comeback` draws the waits between attempts (core/pacing.py), so that directors that lost the feed
-    together do not all call again together; `first_us` is waited before the first call, where a director has
-    what it needs to serve meanwhile and many may come back at once.
+    `backoff` draws the waits between attempts (core/pacing.py), so that directors that lost the feed together
+    do not all reconnect together; `initial_delay_us` is waited before the first connection, where a director
+    has what it needs to serve meanwhile and many may come back at once.
     """
 
     def __init__(self, core: Core, counters: Counters, seed: int = 0, directors: int = 1) -> None:
         self.core, self.counters = core, counters
-        self.comeback = Comeback(seed, core.now(), Pace(most_us=AGAIN_MOST_US), directors)
-        self.first_us = 0
+        self.backoff = ReconnectBackoff(seed, core.now(), BackoffPolicy(max_delay_us=MAX_RETRY_US), directors)
+        self.initial_delay_us = 0
         self.last = 0
         self.announced = 0  # the last number that a line named alone
         self.address = ("", 0)
@@ -87,7 +89,7 @@
                 self.core.purged(group, name, int(evict["unix_ms"]) * 1000)
         except (KeyError, ValueError, TypeError, AttributeError) as error:
             self.bad(f"event {index}: {error!r}")
-        self.core.heard(index)
+        self.core.feed_observed(index)
 
     def bad(self, text: str) -> None:
         self.counters.add("bad.coordinator")
@@ -122,7 +124,7 @@
 
     async def follow(self) -> None:
         """Keep a connection to the feed until cancelled, wherever `move` has last said that it is."""
-        await asyncio.sleep(self.first_us / 1e6)
+        await asyncio.sleep(self.initial_delay_us / 1e6)
         while True:
             try:
                 await self._follow_once()
@@ -134,7 +136,7 @@
                 log.exception("error in the coordinator's events")
             finally:
                 self.limit = None
-            await asyncio.sleep(self.comeback.next_try_us(AGAIN_US) / 1e6)
+            await asyncio.sleep(self.backoff.next_delay_us(FIRST_RETRY_US) / 1e6)
 
     async def _follow_once(self) -> None:
         loop, buffer = asyncio.get_running_loop(), Buffer()
@@ -152,7 +154,7 @@
                             self.line(line)
                             if self.beat is not None:
                                 self.beat()
-                            self.comeback.heard()
+                            self.backoff.reset()
                             self.limit.reschedule(loop.time() + SILENT_S)
                     if len(buffer) > MAX_LINE:
                         raise OSError("line too long")
--- a/onyxwick/net/director_feed.py
+++ b/onyxwick/net/director_feed.py
@@ -7,7 +7,7 @@
 from onyxwick import logs
 from onyxwick.core import Core
 from onyxwick.counters import Counters
-from onyxwick.distribution.documents import Assembler, BadDocument
+from onyxwick.distribution.documents import Assembler, DocumentError
 from onyxwick.distribution.model import (
     CacheListChange,
     Cursor,
@@ -72,7 +72,7 @@
 
     def _reached(self, cursor: Cursor) -> None:
         self.cursor = cursor
-        self.core.heard(cursor.packed)
+        self.core.feed_observed(cursor.packed)
 
     def _apply(self, payload: Payload) -> None:
         if isinstance(payload, PurgeEvent):
@@ -94,7 +94,7 @@
     def _document_part(self, part: DocumentPart) -> None:
         try:
             document = self._assembler.add(part)
-        except BadDocument as error:
+        except DocumentError as error:
             self.counters.add("bad.document")
             log.warning("bad part of a document", name=part.name, detail=str(error))
             return
--- a/onyxwick/net/distribution_node.py
+++ b/onyxwick/net/distribution_node.py
@@ -14,7 +14,7 @@
 from onyxwick.config.errors import ConfigError
 from onyxwick.core.engine import unix_us
 from onyxwick.counters import Counters
-from onyxwick.distribution.documents import Assembler, BadDocument
+from onyxwick.distribution.documents import Assembler, DocumentError
 from onyxwick.distribution.durable import DurableFeed
 from onyxwick.distribution.fanout import FanOut, FanOutLimits
 from onyxwick.distribution.follower import PLAIN_COORDINATOR, Follower, FollowerLimits, FollowerState
@@ -25,7 +25,7 @@
     DocumentPart,
     Event,
     Freshness,
-    PublishRefused,
+    PublishRefusedError,
     PurgeEvent,
     UnknownPayload,
 )
@@ -135,10 +135,10 @@
             if isinstance(event.payload, DocumentPart):
                 self._document_part(event.payload)
             elif isinstance(event.payload, UnknownPayload):
-                raise PublishRefused(event.payload.detail)
+                raise PublishRefusedError(event.payload.detail)
             else:
                 self.publisher.submit(event.payload, unix_us() // 1000)
-        except (PublishRefused, BadDocument) as error:
+        except (PublishRefusedError, DocumentError) as error:
             self.counters.add("refused.event")
             log.error("event not published", index=event.cursor.packed, reason=str(error))
         self._schedule(0.0)
@@ -163,7 +163,7 @@
         for name, text in texts:
             try:
                 version = self.publisher.submit_document(name, text)
-            except PublishRefused as error:
+            except PublishRefusedError as error:
                 raise ConfigError(f"document '{name}': {error}") from None
             log.info("document", name=name, version=version)
         self._schedule(0.0)
--- a/onyxwick/net/fanout_server.py
+++ b/onyxwick/net/fanout_server.py
@@ -12,7 +12,7 @@
 from onyxwick.counters import Counters
 from onyxwick.distribution.codec import decode_follow
 from onyxwick.distribution.fanout import FanOut, Subscriber
-from onyxwick.distribution.model import MalformedLine
+from onyxwick.distribution.model import MalformedLineError
 
 log = logs.get()
 BACKLOG = 1024
@@ -56,7 +56,7 @@
         server, now = self.server, self.server.clock()
         try:
             cursor = decode_follow(line)
-        except MalformedLine as error:
+        except MalformedLineError as error:
             server.counters.add("bad.subscriber")
             log.warning("bad request of a subscriber", detail=str(error))
             self.transport.abort()
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -15,7 +15,7 @@
 from onyxwick import logs
 from onyxwick.config import ConfigError
 from onyxwick.config.relay import SHUT_LEAST, SHUT_SHARE
-from onyxwick.core import Answer, Core, Life, Request, Verdict
+from onyxwick.core import Answer, Core, Request, RequestLifecycle, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi, room
 from onyxwick.net.buffer import ended, readable, unread
@@ -169,7 +169,7 @@
         self.front, self.sock = front, sock
         self.parser = fastcgi.Parser()
         self.outbox = Outbox(sock, front.tally)
-        self.open: dict[int, Life | None] = {}  # by FastCGI number
+        self.open: dict[int, RequestLifecycle | None] = {}  # by FastCGI number
         self.cell: str | None = None  # whose part of the places it takes, where there are cells
         self.ending = False  # to be closed when all that is open on it is answered
         self.deaf = False  # its records can't be told apart, or come without end: it is heard no more
@@ -199,9 +199,9 @@
 
     def _leave_all(self) -> None:
         lives, self.open = self.open, {}
-        for life in lives.values():
-            if life is not None:
-                self.front.core.leave(life)
+        for lifecycle in lives.values():
+            if lifecycle is not None:
+                self.front.core.leave(lifecycle)
 
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
@@ -285,10 +285,10 @@
                 self.calls += 1
                 self._call(message)
             case fastcgi.Aborted(number):
-                life = self.open.pop(number, None)
+                lifecycle = self.open.pop(number, None)
                 self._send(number, fastcgi.end_request(number))
-                if life is not None:
-                    self.front.core.leave(life)
+                if lifecycle is not None:
+                    self.front.core.leave(lifecycle)
             case fastcgi.Reply(data, fault, last):
                 self.outbox.post(Parcel(data))
                 if fault:
@@ -378,9 +378,9 @@
             answer = Answer(Verdict.REFUSED, retry_after_us=self.front.retry_us)
             return self._send(call.number, answer_bytes(call.number, answer))
         self.open[call.number] = None
-        life = self.front.core.start(request, partial(self._answer, call.number))
-        if life is not None:
-            self.open[call.number] = life
+        lifecycle = self.front.core.start(request, partial(self._answer, call.number))
+        if lifecycle is not None:
+            self.open[call.number] = lifecycle
 
     def _placed(self, holding: Holding, tenant: str | None) -> bool:
         """Is there room in its cell's part for this connection and for one more unread answer?
@@ -578,11 +578,11 @@
         """
         end = time.monotonic() + most_s
         self.close(True, passing_on)
-        log.info("ending", clients=len(self.clients), owed=len(self.core.lives))
+        log.info("ending", clients=len(self.clients), owed=len(self.core.lifecycles))
         while (self.clients and time.monotonic() < end) or not self.core.idle.is_set():
             self.close_free()
             await asyncio.sleep(READ_S)  # a request that has come is owed its answer, if not yet read
-        log.info("ending the rest", clients=len(self.clients), owed=len(self.core.lives))
+        log.info("ending the rest", clients=len(self.clients), owed=len(self.core.lifecycles))
         end = time.monotonic() + STALLED_S
         while not self.core.idle.is_set() or (self._unheard() and time.monotonic() < end):
             await asyncio.sleep(READ_S)
--- a/onyxwick/net/subscription.py
+++ b/onyxwick/net/subscription.py
@@ -9,7 +9,7 @@
 from onyxwick import logs
 from onyxwick.config.address import Address, written
 from onyxwick.core.engine import unix_us
-from onyxwick.core.pacing import Comeback, Pace
+from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
 from onyxwick.counters import Counters
 from onyxwick.distribution.follower import (
     Action,
@@ -49,15 +49,15 @@
     """The follower's waits: exponential backoff with full jitter, from the director's own pacing."""
 
     def __init__(self, seed: int, now: int) -> None:
-        self._backoff = Comeback(seed, now, Pace(most_us=MAX_RETRY_US), directors=1)
+        self._backoff = ReconnectBackoff(seed, now, BackoffPolicy(max_delay_us=MAX_RETRY_US), directors=1)
 
     def next_delay_us(self) -> int:
         """The wait before the next attempt, in microseconds."""
-        return self._backoff.next_try_us(FIRST_RETRY_US)
+        return self._backoff.next_delay_us(FIRST_RETRY_US)
 
     def reset(self) -> None:
         """A connection has worked."""
-        self._backoff.heard()
+        self._backoff.reset()
 
 
 class _Connection(asyncio.Protocol):
--- a/onyxwick/service.py
+++ b/onyxwick/service.py
@@ -143,13 +143,15 @@
             coordinator.beat = self._feed_heard
         if self.durable is None and self.sites is None:
             return
-        from onyxwick.core.pacing import Comeback, Pace
+        from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
 
-        back = Comeback(self.config.seed ^ BACK_DRAW, self.core.now(), Pace(), self.config.settings.routers)
+        back = ReconnectBackoff(
+            self.config.seed ^ BACK_DRAW, self.core.now(), BackoffPolicy(), self.config.settings.routers
+        )
         if self.sites is not None:
             self.sites.share = back.share
         if self.durable is not None:
-            coordinator.first_us = back.wait_us
+            coordinator.initial_delay_us = back.wait_us
             caches.share = lambda: back.share(self.core.now())
 
     def follow(self, coordinator: Coordinator) -> Coroutine[None, None, None]:
@@ -166,7 +168,7 @@
         sink = DirectorFeed(self.core, self.counters, {QUOTAS_DOCUMENT: self.told.tenants.apply_quotas})
         self.subscription = Subscription(follower, told.parents, sink, self.counters, self.core.now)
         self.subscription.on_line = coordinator.beat
-        return self.subscription.run(coordinator.first_us)
+        return self.subscription.run(coordinator.initial_delay_us)
 
     def _feed_health(self) -> dict[str, object]:
         """The age of the view, for the health call; empty where the coordinator is followed directly."""
@@ -177,7 +179,7 @@
         return {"feed": follower.state.value, "feed_age_ms": None if age_us is None else age_us // 1000}
 
     def _feed_heard(self) -> None:
-        self.core.tell(i.FeedHeard())
+        self.core.handle(i.FeedHeard())
 
     # ---- reload -----------------------------------------------------------------------------------------
 
@@ -190,7 +192,7 @@
         from onyxwick.cells import Control, PlanError
 
         try:
-            changed = Control(self.cells, self.core.now, self.core.tell).change(plan)
+            changed = Control(self.cells, self.core.now, self.core.handle).change(plan)
         except PlanError as error:
             raise ConfigError(str(error)) from None
         if changed:
@@ -203,7 +205,7 @@
         loop, side = asyncio.get_running_loop(), list[asyncio.Task[None]]()
         if self.durable is not None:
             self.durable.start()
-            self.core.recovered(self.durable)
+            self.core.restore(self.durable)
             side.append(loop.create_task(self._recovering(self.durable)))
         side += [loop.create_task(front.run()) for front in self._fronts(health)]
         if self.told.trace is not None:
@@ -223,7 +225,7 @@
             log.error("no plan for the loss of sites", error=str(error))
             return
         self.sites.replan(self.core.now(), plan)
-        self.core.tell()
+        self.core.handle()
         log.info("plan for the loss of sites", losses=len(plan.rows), topology=plan.digest)
         for text in findings[:16]:
             log.warning("a loss that cannot be borne", finding=text)
@@ -310,14 +312,14 @@
         from onyxwick.admin.cells import CellsApi
         from onyxwick.cells import Control
 
-        return CellsApi(Control(self.cells, self.core.now, self.core.tell))
+        return CellsApi(Control(self.cells, self.core.now, self.core.handle))
 
     def _sites_api(self) -> SitesApi | None:
         if self.sites is None:
             return None
         from onyxwick.admin.sites import SitesApi
 
-        return SitesApi(self.sites, self.core.now, self.core.tell)
+        return SitesApi(self.sites, self.core.now, self.core.handle)
 
 
 def _planned(told: SitesConfig) -> tuple[SitePlan, list[str]]:
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from onyxwick import interface as i
-from onyxwick.core import Answer, Core, Life, Request
+from onyxwick.core import Answer, Core, Request, RequestLifecycle
 from onyxwick.core.engine import unix_us
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
@@ -108,10 +108,10 @@
         told = {"group": 17, "arrived_us": unix_us(), "timeout_us": 9_000_000}
         return Request(**{**fields, **told, **more})  # type: ignore[arg-type]
 
-    def start(self, kind: str = "chunk", **more: object) -> Life:
-        life = self.core.start(self.request(kind, **more), self.answers.append)
-        assert life is not None
-        return life
+    def start(self, kind: str = "chunk", **more: object) -> RequestLifecycle:
+        lifecycle = self.core.start(self.request(kind, **more), self.answers.append)
+        assert lifecycle is not None
+        return lifecycle
 
     async def until(self, true: Callable[[], object], what: str = "") -> None:
         async with asyncio.timeout(PATIENCE_S):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -133,7 +133,7 @@
 
     async def ask(self, name: str, number: int) -> None:
         await super().ask(name, number)
-        self.core.members.purges[(None, name)] = self.core.now()
+        self.core.members.purge_times[(None, name)] = self.core.now()
 
 
 def test_a_table_that_grows_with_objects_is_seen() -> None:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -8,7 +8,7 @@
 
 from onyxwick.distribution import codec
 from onyxwick.distribution.admission import Admission, AdmissionLimits
-from onyxwick.distribution.documents import Assembler, BadDocument, split
+from onyxwick.distribution.documents import Assembler, DocumentError, split
 from onyxwick.distribution.durable import DurableFeed
 from onyxwick.distribution.fanout import FanOut, FanOutLimits, SubscriberState
 from onyxwick.distribution.follower import (
@@ -28,14 +28,14 @@
     CacheRow,
     Cursor,
     Event,
-    FeedGap,
-    IllegalTransition,
-    MalformedLine,
-    PublishRefused,
+    FeedGapError,
+    IllegalTransitionError,
+    MalformedLineError,
+    PublishRefusedError,
     PurgeEvent,
     PurgeKey,
     SnapshotBegin,
-    StepBack,
+    StepBackError,
     UnknownPayload,
 )
 from onyxwick.distribution.publisher import Publisher, PublisherLimits, new_history
@@ -193,12 +193,12 @@
 
 def test_the_tables_of_transitions_are_kept() -> None:
     follower = Follower(1, NoWait())
-    with pytest.raises(IllegalTransition):
+    with pytest.raises(IllegalTransitionError):
         follower.connected(START)
     assert all(FollowerState.STOPPED in TRANSITIONS[s] for s in FollowerState if s.value != "stopped")
     subscriber = FanOut(filled(1)).connect(START)
     assert subscriber is not None
-    with pytest.raises(IllegalTransition):
+    with pytest.raises(IllegalTransitionError):
         subscriber.enter(SubscriberState.LIVE)
 
 
@@ -245,24 +245,24 @@
 
 def test_numbers_out_of_range_and_endless_garbage_are_refused() -> None:
     for line in (b"-1", b"9223372036854775808", b"true", b"[]", b'{"index":-4,"evict":{}}', b"\xff\xfe"):
-        with pytest.raises(MalformedLine):
+        with pytest.raises(MalformedLineError):
             codec.decode(line)
     follower = following()
     actions = [a for _ in range(20) for a in follower.line(START, b"garbage")]
     assert [type(a) for a in actions] == [Disconnect]
-    with pytest.raises(MalformedLine):
+    with pytest.raises(MalformedLineError):
         codec.decode_follow(b"follow 99999999999999999999999")
 
 
 def test_documents_over_the_bound_or_with_wrong_parts_are_refused() -> None:
     publisher = Publisher(filled(0), START)
-    with pytest.raises(PublishRefused, match="at most"):
+    with pytest.raises(PublishRefusedError, match="at most"):
         publisher.submit_document("big", "x" * (MAX_DOCUMENT_BYTES + 1))
     assert not publisher.bulk
     parts = split("a", 1, "\u00e9" * 60_000)
     assert len(parts) > 3
     collector = Assembler()
-    with pytest.raises(BadDocument):
+    with pytest.raises(DocumentError):
         collector.add(parts[1])
     for part in parts[:-1]:
         assert collector.add(part) is None
@@ -270,7 +270,7 @@
     assert whole is not None
     assert whole.text == "\u00e9" * 60_000
     collector.add(parts[0])
-    with pytest.raises(BadDocument):
+    with pytest.raises(DocumentError):
         collector.add(parts[2])
 
 
@@ -319,21 +319,21 @@
     publisher = Publisher(filled(0), START, PublisherLimits(queued=4, purges=3))
     for n in range(3):
         publisher.submit(PurgeEvent(PurgeKey(f"p{n}", None), NOW_MS), NOW_MS)
-    with pytest.raises(PublishRefused, match="binding"):
+    with pytest.raises(PublishRefusedError, match="binding"):
         publisher.submit(PurgeEvent(PurgeKey("p9", None), NOW_MS), NOW_MS)
-    with pytest.raises(PublishRefused, match="future"):
+    with pytest.raises(PublishRefusedError, match="future"):
         publisher.submit(PurgeEvent(PurgeKey("p1", None), NOW_MS + 90_000), NOW_MS)
     publisher.submit(CacheListChange((), False, 1), NOW_MS)
-    with pytest.raises(PublishRefused, match="queued"):
+    with pytest.raises(PublishRefusedError, match="queued"):
         publisher.submit(CacheListChange((), False, 1), NOW_MS)
     assert len(publisher.due(START)) == 4
 
 
 def test_a_replica_refuses_gaps_and_earlier_states() -> None:
     replica = filled(3)
-    with pytest.raises(FeedGap):
+    with pytest.raises(FeedGapError):
         replica.apply(purge(5), NOW_MS)
-    with pytest.raises(StepBack):
+    with pytest.raises(StepBackError):
         replica.install(Snapshot(Cursor(HISTORY, 2), ()))
     replica.install(Snapshot(Cursor(HISTORY + 1, 0), ()))
     assert replica.cursor == Cursor(HISTORY + 1, 0)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -48,7 +48,7 @@
         await ground.until(lambda: ground.caches.links.get("c0"))
         ground.core.leave(gone)
         await let_up()
-        await ground.until(lambda: not ground.core.lives)
+        await ground.until(lambda: not ground.core.lifecycles)
         assert ground.script.ends() == [i.Status.NOT_SENT] and not ground.answers
 
     played(play)
@@ -58,10 +58,10 @@
     async def play(ground: Ground) -> None:
         sock = ground.cache("c0")
         _on_arrival(ground, "c0")
-        life = ground.start()
-        while not life.attempts:
+        lifecycle = ground.start()
+        while not lifecycle.attempts:
             await asyncio.sleep(0)  # the attempt's task is there, and has not taken its first step
-        ground.core.leave(life)
+        ground.core.leave(lifecycle)
         await ground.until(lambda: ground.script.ends())
         assert ground.script.ends() == [i.Status.NOT_SENT] and not ground.caches.links
         sock.close()
@@ -73,10 +73,10 @@
     async def play(ground: Ground) -> None:
         sock, (let_up,) = ground.cache("c0"), ground.held("c1")
         _on_arrival(ground, "c0", "c1")
-        life = ground.start()
+        lifecycle = ground.start()
         first = await ground.accepted(sock)
-        await ground.read(first, life.request.id.encode())
-        first.send(_answer(life.request.id))
+        await ground.read(first, lifecycle.request.id.encode())
+        first.send(_answer(lifecycle.request.id))
         await ground.until(lambda: ground.answers)
         await let_up()
         await ground.until(lambda: ground.script.ends() == [i.Status.OK, i.Status.NOT_SENT])
@@ -93,10 +93,10 @@
 
         _on_arrival(ground, "c0")
         _on_error(ground, lambda request: ask(request, "c1"))  # at once, and the way is not up in time
-        life = ground.start("hold")
+        lifecycle = ground.start("hold")
         first = await ground.accepted(sock)
-        await ground.read(first, life.request.id.encode())
-        first.send(_answer(life.request.id, b"failed", b"-", b""))
+        await ground.read(first, lifecycle.request.id.encode())
+        first.send(_answer(lifecycle.request.id, b"failed", b"-", b""))
         await ground.until(lambda: ground.caches.links.get("c1"))
         await asyncio.sleep(0.35)  # the window passes
         second = await let_up()
@@ -112,12 +112,12 @@
     async def play(ground: Ground) -> None:
         sock = ground.cache("c0")
         _on_arrival(ground, "c0", "c0")
-        life = ground.start("save")
+        lifecycle = ground.start("save")
         conn = await ground.accepted(sock)
-        await ground.read(conn, life.request.id.encode())
+        await ground.read(conn, lifecycle.request.id.encode())
         await ground.until(lambda: ground.script.ends())
         assert ground.script.ends() == [i.Status.NOT_SENT]
-        conn.send(_answer(life.request.id))
+        conn.send(_answer(lifecycle.request.id))
         await ground.until(lambda: ground.answers)
 
     played(play)
@@ -139,7 +139,7 @@
         ground.tasks.append(asyncio.get_running_loop().create_task(follower.follow()))
         silent = await ground.accepted(feed)
         await ground.read(silent, b"follow 0\n")
-        life = ground.start()
+        lifecycle = ground.start()
         await ground.until(lambda: ground.caches.links.get("c0"))
         again = await ground.accepted(feed)  # after a silence, on a new connection
         await ground.read(again, b"follow 0\n")
@@ -153,7 +153,7 @@
         await ground.until(lambda: not ground.members.ready("c0"))
         await let_up()
         await ground.until(lambda: ground.script.ends() == [i.Status.NOT_SENT])
-        assert not life.gone
+        assert not lifecycle.client_departed
 
     played(play)
 
@@ -211,10 +211,10 @@
         sock.send(call(1))
         _leave(sock, end)  # both are there before the director looks
         await asyncio.sleep(0.1)
-        assert all(life.gone for life in ground.core.lives.values())
+        assert all(lifecycle.client_departed for lifecycle in ground.core.lifecycles.values())
         if ground.caches.links:
             await let_up()
-        await ground.until(lambda: not ground.core.lives)
+        await ground.until(lambda: not ground.core.lifecycles)
         assert set(ground.script.ends()) <= {i.Status.NOT_SENT}
 
     played(play)
@@ -266,12 +266,12 @@
         for number, sock in enumerate(socks):
             first = number * fastcgi.MAX_OPEN
             sock.send(b"".join(call(n + 1, f"{first + n:016x}") for n in range(fastcgi.MAX_OPEN)))
-        await ground.until(lambda: len(ground.core.lives) == most)
+        await ground.until(lambda: len(ground.core.lifecycles) == most)
         for number, sock in enumerate(socks):
             _leave(sock, ("half-close", "close", "reset")[number % 3])
         await asyncio.sleep(0.1)
         await let_up()
-        await ground.until(lambda: not ground.core.lives)
+        await ground.until(lambda: not ground.core.lifecycles)
         assert set(ground.script.ends()) <= {i.Status.NOT_SENT, i.Status.CONNECT_FAILED}
 
     played(play)
@@ -289,7 +289,7 @@
         (sizes,) = [len(c.parser.buffer.data) for c in ground.front.clients] or [0]
         assert sizes < 500_000
         sock.close()
-        await ground.until(lambda: not ground.front.clients and not ground.core.lives)
+        await ground.until(lambda: not ground.front.clients and not ground.core.lifecycles)
         other = await ground.client()
         other.send(call(1, path="/ping"))
         await ground.read(other, b"200 OK")
@@ -306,15 +306,15 @@
 
         _on_arrival(ground, "c0")
         _on_error(ground, lambda request: [i.Fail(request)])
-        life = ground.start(held_tag="4be0c1927d55a6f3")
+        lifecycle = ground.start(held_tag="4be0c1927d55a6f3")
         conn = await ground.accepted(sock)
-        await ground.read(conn, life.request.id.encode())
-        conn.send(_answer(life.request.id, b"unchanged", b"digest=0000000000000000,note=HIT", b""))
+        await ground.read(conn, lifecycle.request.id.encode())
+        conn.send(_answer(lifecycle.request.id, b"unchanged", b"digest=0000000000000000,note=HIT", b""))
         await ground.until(lambda: ground.answers)
         assert ground.answers[0].verdict is Verdict.FAILED and ground.counters.counts["bad.tag"] == 1
-        life = ground.start(held_tag="4be0c1927d55a6f3")  # and that connection goes on
-        await ground.read(conn, life.request.id.encode())
-        conn.send(_answer(life.request.id, b"unchanged", FOUND, b""))
+        lifecycle = ground.start(held_tag="4be0c1927d55a6f3")  # and that connection goes on
+        await ground.read(conn, lifecycle.request.id.encode())
+        conn.send(_answer(lifecycle.request.id, b"unchanged", FOUND, b""))
         await ground.until(lambda: len(ground.answers) == 2)
         assert ground.answers[1].unchanged
 
@@ -325,10 +325,10 @@
     async def play(ground: Ground) -> None:
         sock = ground.cache("c0")
         _on_arrival(ground, "c0")
-        life = ground.start(timeout_us=800_000)
+        lifecycle = ground.start(timeout_us=800_000)
         conn = await ground.accepted(sock)
-        await ground.read(conn, life.request.id.encode())
-        conn.send(_answer(life.request.id, body=b"x" * 9000)[:-9000])
+        await ground.read(conn, lifecycle.request.id.encode())
+        conn.send(_answer(lifecycle.request.id, body=b"x" * 9000)[:-9000])
 
         async def drip() -> None:
             while True:
@@ -349,15 +349,15 @@
     async def play(ground: Ground) -> None:
         sock = ground.cache("c0")
         _on_arrival(ground, "c0")
-        life = ground.start()
+        lifecycle = ground.start()
         conn = await ground.accepted(sock)
-        await ground.read(conn, life.request.id.encode())
+        await ground.read(conn, lifecycle.request.id.encode())
         (link,) = ground.caches.links["c0"]
         (only,) = link.calls.values()
-        words = [life.request.id.encode(), b"data", FOUND, b"walk"]
+        words = [lifecycle.request.id.encode(), b"data", FOUND, b"walk"]
         deeds: list[Callable[[], None]] = [lambda: link._answered(words), lambda: link.expire(only)]
         for deed in deeds if first == "answer" else reversed(deeds):
-            deed()  # both before the life hears of either
+            deed()  # both before the lifecycle hears of either
         await ground.until(lambda: ground.script.ends())
         wanted = i.Status.OK if first == "answer" else i.Status.TIMEOUT
         assert ground.script.ends() == [wanted] and len(ground.answers) == (first == "answer")
@@ -369,10 +369,10 @@
     async def play(ground: Ground) -> None:
         sock = ground.cache("c0")
         _on_arrival(ground, "c0")
-        life = ground.start()
+        lifecycle = ground.start()
         conn = await ground.accepted(sock)
-        await ground.read(conn, life.request.id.encode())
-        conn.send(_answer(life.request.id)[:-3])
+        await ground.read(conn, lifecycle.request.id.encode())
+        conn.send(_answer(lifecycle.request.id)[:-3])
         conn.close()
         await ground.until(lambda: ground.script.ends() == [i.Status.RESET])
         assert not ground.answers and not ground.caches.links
@@ -478,8 +478,8 @@
         sock.send(call(1) + call(2))
         await ground.until(lambda: client.outbox.pending > 100_000 and client.open)
         await asyncio.sleep(0.02)  # from here on it is not read from
-        (life,) = client.open.values()
-        assert life is not None and not life.gone
+        (lifecycle,) = client.open.values()
+        assert lifecycle is not None and not lifecycle.client_departed
         sock.send(b"\x01")  # what comes unread before its end hides it from a read
         if end == "half-close":
             sock.shutdown(socket.SHUT_WR)
@@ -490,7 +490,7 @@
             sock.close()
         loop = asyncio.get_running_loop()
         began = loop.time()
-        await ground.until(lambda: life.gone)
+        await ground.until(lambda: lifecycle.client_departed)
         assert loop.time() - began < 1.0  # a tenth of a second, with room for a slow machine
 
     played(play)
@@ -503,10 +503,10 @@
         _on_arrival(ground, "c0")
         sock = await ground.client()
         sock.send(call(1, keep=False))
-        await ground.until(lambda: ground.core.lives)
-        (life,) = ground.core.lives.values()
+        await ground.until(lambda: ground.core.lifecycles)
+        (lifecycle,) = ground.core.lifecycles.values()
         sock.send(fastcgi.record(fastcgi.Type.ABORT, 1, b""))
-        await ground.until(lambda: life.gone)
+        await ground.until(lambda: lifecycle.client_departed)
         await ground.read(sock, fastcgi.end_request(1))
 
     played(play)
@@ -522,7 +522,7 @@
         await ground.read(sock, fastcgi.end_request(2, fastcgi.Protocol.OVERLOADED))
         sock.send(call(3))  # and in one of its own, the first still owed
         await ground.read(sock, fastcgi.end_request(3, fastcgi.Protocol.OVERLOADED))
-        assert len(ground.core.lives) == 1
+        assert len(ground.core.lifecycles) == 1
 
     played(play)
 
@@ -607,7 +607,7 @@
         sock.send(call(2))
         client.close_softly(1.0)  # in the same turn: the call is in the socket and not read
         await ground.until(lambda: ground.counters.counts["client.crossed"])
-        assert not ground.core.lives and not ground.script.events
+        assert not ground.core.lifecycles and not ground.script.events
 
     played(play)
 
@@ -698,15 +698,15 @@
     async def play(ground: Ground) -> None:
         sock = ground.cache("c0")
         _on_arrival(ground, "c0")
-        life = ground.start(arrived_us=unix_us())
+        lifecycle = ground.start(arrived_us=unix_us())
         conn = await ground.accepted(sock)
-        await ground.read(conn, life.request.id.encode())
+        await ground.read(conn, lifecycle.request.id.encode())
         (link,) = ground.caches.links["c0"]
-        from onyxwick.core.engine import Left
+        from onyxwick.core.engine import ClientDeparted
 
-        life.mailbox.put(Left(overdue=True))
-        link._answered([life.request.id.encode(), b"data", FOUND, b"walk"])
-        await ground.until(lambda: not ground.core.lives)
+        lifecycle.mailbox.put(ClientDeparted(overdue=True))
+        link._answered([lifecycle.request.id.encode(), b"data", FOUND, b"walk"])
+        await ground.until(lambda: not ground.core.lifecycles)
         assert [a.verdict for a in ground.answers] == [Verdict.FAILED]
         assert isinstance(ground.answers[0], Answer) and caches.STUCK_S > 0
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -108,14 +108,14 @@
 
 
 def test_the_feed_is_called_again_after_waits_drawn_below_a_bound_that_doubles() -> None:
-    from onyxwick.net.coordinator import AGAIN_MOST_US, AGAIN_US, Coordinator
+    from onyxwick.net.coordinator import FIRST_RETRY_US, MAX_RETRY_US, Coordinator
 
     async def play() -> list[list[int]]:
         members, counters = Members(), Counters()
         core = Core(SETTINGS, 7, Caches(members, counters, 0), members, counters)
         feeds = [Coordinator(core, counters, seed, 40) for seed in (1, 2)]
-        return [[feed.comeback.next_try_us(AGAIN_US) for _ in range(8)] for feed in feeds]
+        return [[feed.backoff.next_delay_us(FIRST_RETRY_US) for _ in range(8)] for feed in feeds]
 
     one, two = asyncio.run(play())
     assert one != two  # two directors that lost the feed together do not call again together
-    assert all(row[0] <= AGAIN_US and max(row) <= AGAIN_MOST_US for row in (one, two))
+    assert all(row[0] <= FIRST_RETRY_US and max(row) <= MAX_RETRY_US for row in (one, two))
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -18,7 +18,7 @@
 from onyxwick.core import Core, Order, Outcome, Request
 from onyxwick.core.members import Members
 from onyxwick.core.model import Answer, Verdict
-from onyxwick.core.pacing import Comeback, Pace
+from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
 from onyxwick.counters import Counters
 from onyxwick.store import Failed, Full, Refused
 from onyxwick.store.durable import Durable, unpack
@@ -100,19 +100,19 @@
 def test_directors_that_start_together_do_not_call_together() -> None:
     """At 3 and at 40: the calls of the first 100 ms, and the limits that all allow themselves."""
     for directors, most in ((3, 3), (40, 8)):
-        backs = [Comeback(n * 7919, 0, Pace(), directors) for n in range(directors)]
+        backs = [ReconnectBackoff(n * 7919, 0, BackoffPolicy(), directors) for n in range(directors)]
         windows = [0] * 21
         for back in backs:
             windows[back.wait_us // 100_000] += 1
         assert max(windows) <= most and sum(windows) == directors
         shares = [sum(b.share(at) for b in backs) / directors for at in range(0, 14 * S, S)]
         assert shares == sorted(shares) and shares[0] <= 0.21 and shares[-1] == 1.0
-    alone = Comeback(1, 0, Pace(), 1)
-    assert alone.may_call(0)
-    tries = [[back.next_try_us(100_000) for _ in range(12)] for back in backs]
+    alone = ReconnectBackoff(1, 0, BackoffPolicy(), 1)
+    assert alone.may_connect(0)
+    tries = [[back.next_delay_us(100_000) for _ in range(12)] for back in backs]
     assert all(max(row) <= 8 * S for row in tries) and len({row[3] for row in tries}) == 40
-    backs[0].heard()
-    assert backs[0].next_try_us(100_000) <= 100_000
+    backs[0].reset()
+    assert backs[0].next_delay_us(100_000) <= 100_000
 
 
 # ---- rows -----------------------------------------------------------------------------------------------
@@ -281,17 +281,17 @@
 
     async def play() -> None:
         depot = Depot(FaultyFiles())
-        depot.core.heard(9)
+        depot.core.feed_observed(9)
         drained = i.MembersChanged(i.ListKind.CHANGE, (replace(CACHES[0], state=i.State.DRAINING),))
         depot.core.list_changed(drained, ADDRESSES)
         await asyncio.gather(*depot.durable.notes)
         for seed in range(3):  # each time up with the old list, in which all are ready, and killed again
             depot = Depot(depot.files.after_crash(random.Random(seed)))
-            depot.core.heard(1)
+            depot.core.feed_observed(1)
             await asyncio.gather(*depot.durable.notes)
             assert depot.durable.recovery.reached == 9
             assert not depot.core.members.ready("c0") and depot.core.members.ready("c1")
-        depot.core.heard(10)
+        depot.core.feed_observed(10)
         assert depot.core.members.ready("c0"), "the feed is past it and has not drained it again"
         await asyncio.gather(*depot.durable.notes)
         assert not list(depot.durable.engine.keys("drain/"))
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -371,7 +371,7 @@
         )
         core.watch = Watch(SETTINGS, "n0", tmp_path, Bounds(), core.now(), lambda: 1)
         decider.order(1_002 * S, Order("north", Word.EVACUATE, "flood"))
-        core.tell()
+        core.handle()
         core.watch.stop(core.now())
         assert core.counters.counts["sites.evacuating.north"] == 1
         (path,) = tmp_path.glob("*.owt")
