Connections given up count as descriptors until they are closed: a crowd is let in behind them

To blame: Front._give_up takes a displaced connection off the list and cancels it, but its socket is closed some turns of the loop later, while accept goes on for 32 more; with all links open a process could have gone over its limit, and accept_rest had no turn at all. Change: no more than 8 connections given up are open before the next is accepted; accept_rest waits for them too. Result: test_endings a_crowd_of_newcomers: 128 open where 76 is the bound before, within the bound after; it was seen to fail first.

--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -299,7 +299,7 @@
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
         if not self.handed:
-            self.front.accept_rest(sock)
+            await self.front.accept_rest(sock)
             sock.close()
         await self.front.finish(FINISH_S, passing_on=self.handed)
 
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -42,6 +42,9 @@
 SWEEP_S = 0.25
 BACKLOG = 1024  # connections that wait to be accepted
 ACCEPT_TURN = 32  # accepted in one turn of the loop
+GIVEN_UP_MOST = (
+    8  # given up and not closed yet, before more are accepted: a close takes some turns of the loop
+)
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed, for want of descriptors as a rule
 STATUS = {
@@ -462,6 +465,7 @@
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
         self.tally = Tally()
         self.shut: set[Client] = set()  # their end is written; they go as soon as the client closes its own
+        self.given_up: set[Client] = set()  # no clients any more, but their sockets are not closed yet
         self.closing = False  # drained or leaving: each connection ends as soon as it owes nothing
         self.passing_on = False  # new calls on open connections are refused, so that each comes free
 
@@ -518,8 +522,15 @@
         client.close_softly(now)
         if full:
             self.shut.discard(client)
+            self.given_up.add(client)
             self.clients.pop(client).cancel()
 
+    async def _given_up_closed(self) -> None:
+        """Wait until few of the connections given up are still open: their descriptors count too, and each
+        newcomer of a crowd would leave another one open beside all places."""
+        while len(self.given_up) >= GIVEN_UP_MOST:
+            await asyncio.sleep(0)
+
     async def accept(self, sock: socket.socket) -> None:
         """Take in clients until cancelled; being out of descriptors passes.
 
@@ -536,17 +547,19 @@
                 self.counters.add("error.accept")
                 log.warning("accept failed", error=str(error))
                 pause = ACCEPT_PAUSE_S
+            await self._given_up_closed()
             taken += 1
             if pause or taken % ACCEPT_TURN == 0:  # a crowd at the door leaves the others their turn
                 await asyncio.sleep(pause)
                 pause = 0.0
 
-    def accept_rest(self, sock: socket.socket) -> None:
+    async def accept_rest(self, sock: socket.socket) -> None:
         """Take in whoever has connected already, before the listening socket closes: a close would reset them
-        with what they have written."""
+        with what they have written. Between the last look for one and the return nothing else runs."""
         with contextlib.suppress(OSError):  # none is left, or there is no room for more
             for _ in range(BACKLOG):
                 self._admit(sock.accept()[0])
+                await self._given_up_closed()
 
     def _admit(self, conn: socket.socket) -> None:
         if len(self.clients) - len(self.shut) >= self.most_clients and not self._make_room():
@@ -568,6 +581,7 @@
     def _gone(self, client: Client, _: asyncio.Task[None]) -> None:
         self.clients.pop(client, None)
         self.shut.discard(client)
+        self.given_up.discard(client)
 
     async def finish(self, most_s: float, passing_on: bool) -> None:
         """Answer all that is owed, end each connection as soon as it owes nothing, then close the rest.
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -18,7 +18,7 @@
 from onyxwick.core import Answer, Verdict
 from onyxwick.core.engine import unix_us
 from onyxwick.core.model import Order, Outcome
-from onyxwick.net import caches, coordinator, fastcgi, front, resp
+from onyxwick.net import caches, coordinator, fastcgi, front, resp, room
 from onyxwick.net.coordinator import Coordinator
 from onyxwick.net.outbox import Outbox, Parcel, Tally
 from tests.ground import FOUND, PATIENCE_S, Ground, ask, call, played
@@ -424,7 +424,7 @@
         late.send(call(1, path="/ping"))
         ground.tasks[0].cancel()  # before the loop has seen that there is somebody
         await asyncio.gather(ground.tasks[0], return_exceptions=True)
-        ground.front.accept_rest(ground.door)
+        await ground.front.accept_rest(ground.door)
         ground.door.close()
         await ground.read(late, b"200 OK")
 
@@ -711,3 +711,40 @@
         assert isinstance(ground.answers[0], Answer) and caches.STUCK_S > 0
 
     played(play)
+
+
+@pytest.mark.parametrize("at_the_end", [False, True])
+def test_a_crowd_of_newcomers_holds_no_more_descriptors_than_its_bound(
+    at_the_end: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    taken, most = list[socket.socket](), 0
+    admit = front.Front._admit
+
+    def counting(self: front.Front, conn: socket.socket) -> None:
+        nonlocal most
+        taken.append(conn)
+        admit(self, conn)
+        most = max(most, sum(sock.fileno() >= 0 for sock in taken))
+
+    async def play(ground: Ground) -> None:
+        nonlocal most
+        places = ground.front.most_clients
+        first = [await ground.client() for _ in range(places)]
+        await ground.until(lambda: len(ground.front.clients) == places)
+        await asyncio.sleep(room.REST_S * 1.5)  # all of them may be displaced now
+        accepting = ground.tasks[0]
+        if at_the_end:
+            accepting.cancel()
+        for _ in range(3 * places):  # all are in the backlog before the loop turns again
+            await ground.client()
+        if at_the_end:
+            await asyncio.gather(accepting, return_exceptions=True)
+            await ground.front.accept_rest(ground.door)
+        await ground.until(lambda: len(taken) == 4 * places)
+        assert ground.front.counters.counts["client.displaced"] >= places
+        lingering = max(front.SHUT_LEAST, places // front.SHUT_SHARE)
+        assert most <= places + lingering + front.GIVEN_UP_MOST
+        assert first
+
+    monkeypatch.setattr(front.Front, "_admit", counting)
+    played(play)
