--- a/onyxwick/cli/scale.py
+++ b/onyxwick/cli/scale.py
@@ -87,3 +87,34 @@
         click.echo("the machine was short of cores: no verdict on times", err=True)
     if report["lost"] or report["disordered"] or report["settled_s"] is None:
         raise click.exceptions.Exit(1)
+
+
+@scale.command()
+@click.argument("folder", type=path_option)
+@click.option(
+    "--size", "size_file", type=path_option, help="HCL with a block `size`; without it the default."
+)
+@click.option("--directors", type=click.IntRange(1, 10**6))
+@click.option("--caches", type=click.IntRange(1, 10**6))
+@click.option("--requests", type=click.FloatRange(1), help="A second, of all directors.")
+@click.option("--purges", type=click.FloatRange(0), help="A second.")
+@click.option(
+    "--times", type=click.FloatRange(0.01, 100), default=1.0, show_default=True, help="Of everything."
+)
+def capacity(
+    folder: Path, size_file: Path | None, directors: int | None, caches: int | None, requests: float | None,
+    purges: float | None, times: float,
+) -> None:  # fmt: skip
+    """The capacity page's tables from the measured figures in FOLDER, for a size."""
+    from dataclasses import replace
+
+    from onyxwick.lab.scale.capacity import page, read_inputs
+    from onyxwick.lab.scale.size import Size, read
+
+    size = Size() if size_file is None else read(size_file)
+    told = {"directors": directors, "caches": caches, "requests_per_s": requests, "purges_per_s": purges}
+    size = replace(size, **{name: value for name, value in told.items() if value is not None})  # type: ignore[arg-type]
+    try:
+        click.echo(page(size.times(times), read_inputs(folder)))
+    except (OSError, KeyError) as error:
+        raise Unusable(f"{folder}: a measured figure is missing: {error}") from None
--- /dev/null
+++ b/onyxwick/lab/scale/capacity.py
@@ -0,0 +1,358 @@
+"""The capacity model: slopes and fleets' figures put together for a size, as the tables of docs/CAPACITY.md.
+
+Each cell is a formula over measured figures and drivers; nothing is read off a run of another size without
+saying so.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from onyxwick.distribution.admission import AdmissionLimits
+from onyxwick.distribution.replica import LOG_BYTES, PURGE_RETENTION_MS
+from onyxwick.lab.scale.fits import Fit
+from onyxwick.lab.scale.size import DAY_S, Size
+from onyxwick.lab.scale.slopes import fit_of
+
+CORE_SHARE, CONTROL_MB, CONTROL_BYTES = 0.011, 256.0, 10_000.0
+PURGE_S, CHANGE_S = 1.5, 5.0
+COUNTED_MOST = 50_000
+"""The module's own bound on objects counted at once."""
+STEP_TURN_MS = 8.0
+MEASURED_PURGES = 21.0
+EVENT_BYTES = 110.0
+"""Bytes of a purge's line in the tree: a number of 19 digits, an object's name, a time."""
+REGION_CUT_S = 600.0
+ROW_KB = 0.15
+
+
+class Mark(Enum):
+    """Where a figure comes from."""
+
+    MEASURED = "measured"
+    DERIVED = "derived"
+    ASSUMED = "assumed"
+
+
+@dataclass(frozen=True, slots=True)
+class Inputs:
+    """What was measured: fits by name, and the reports of fleets by shape and fault."""
+
+    fits: Mapping[str, Fit]
+    fleets: Mapping[str, Mapping[str, Any]]
+    revision: str
+
+    def at(self, name: str, driver: float) -> float:
+        """A fitted figure for a driver."""
+        return self.fits[name].at(driver)
+
+    def fleet(self, name: str) -> Mapping[str, Any]:
+        """A fleet's report; KeyError where that one was not run."""
+        return self.fleets[name]
+
+
+Formula = Callable[[Size, Inputs], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One figure of one role. `budget` None: nobody has set one."""
+
+    role: str
+    kind: str
+    unit: str
+    formula: str
+    compute: Formula
+    mark: Mark
+    mechanism: str
+    budget: float | None = None
+
+
+def _p99_rate(size: Size) -> float:
+    return size.requests_per_director * size.p99_over_mean
+
+
+def _serving(rate: Callable[[Size], float]) -> Formula:
+    def compute(size: Size, got: Inputs) -> float:
+        return rate(size) * got.at("director_request_us", size.request_bytes / 1e3) / 1e6
+
+    return compute
+
+
+def _counted(size: Size, rate: float) -> float:
+    return min(COUNTED_MOST, size.objects_counted(rate))
+
+
+def _popularity(rate: Callable[[Size], float]) -> Formula:
+    return lambda size, got: got.at("popularity_ms_per_s", _counted(size, rate(size))) / 1e3
+
+
+def _turn(size: Size, got: Inputs) -> float:
+    return got.at("popularity_turn_ms", _counted(size, _p99_rate(size)))
+
+
+def _feed_share(size: Size, got: Inputs) -> float:
+    return float(got.fleet("tree-none")["core_share_a_director"]) * size.purges_per_s / MEASURED_PURGES
+
+
+def _list_share(size: Size, got: Inputs) -> float:
+    return size.list_changes_per_hour / 3600 * got.at("list_change_us", size.caches) / 1e6
+
+
+def _purge_share(size: Size, got: Inputs) -> float:
+    return got.at("purge_ms_per_s", size.purges_per_s) / 1e3
+
+
+def _control(rate: Callable[[Size], float]) -> Formula:
+    def compute(size: Size, got: Inputs) -> float:
+        return _feed_share(size, got) + _popularity(rate)(size, got) + _list_share(size, got)
+
+    return compute
+
+
+def _control_mb(size: Size, got: Inputs) -> float:
+    counted = got.at("counted_kb", _counted(size, _p99_rate(size)))
+    feed = float(got.fleet("tree-none")["memory_kb_a_director"])
+    return (counted + feed + size.document_bytes / 1e3) / 1e3
+
+
+def _director_bytes(size: Size, got: Inputs) -> float:
+    measured = float(got.fleet("tree-none")["bytes_per_s_a_director"])
+    return measured * size.purges_per_s / MEASURED_PURGES
+
+
+def _burst_bytes(size: Size, got: Inputs) -> float:
+    return _director_bytes(size, got) + size.changes_per_s_in_burst * size.change_bytes * 1.1
+
+
+def _relays(size: Size) -> int:
+    return size.control_machines - 2
+
+
+def _followers(size: Size, lost: int = 0) -> float:
+    return size.directors / max(1, _relays(size) - lost)
+
+
+def _events_per_s(size: Size) -> float:
+    return size.purges_per_s + size.list_changes_per_hour / 3600 + size.changes_per_day / DAY_S
+
+
+def _relay_share(lost: int) -> Formula:
+    def compute(size: Size, got: Inputs) -> float:
+        return _events_per_s(size) * got.at("node_ms_per_event", _followers(size, lost)) / 1e3
+
+    return compute
+
+
+def _publisher_share(size: Size, got: Inputs) -> float:
+    binding = size.purges_per_s * PURGE_RETENTION_MS / 1e3
+    each = got.at("publish_us", binding) / 1e6 + got.at("node_ms_per_event", _relays(size)) / 1e3
+    return _events_per_s(size) * each
+
+
+def _single_share(size: Size, got: Inputs) -> float:
+    report = got.fleet("single-none")
+    share = float(report["cores"]["coordinator"])
+    grown = size.directors * size.purges_per_s / (report["plan"]["directors"] * MEASURED_PURGES)
+    return share * float(grown)
+
+
+def _trace_mb_per_s(size: Size, got: Inputs) -> float:
+    return size.requests_per_s * got.fits["trace_bytes"].slope / 1e6
+
+
+def _snapshot_kb(size: Size, got: Inputs) -> float:
+    binding = got.at("snapshot_kb", size.purges_per_s * PURGE_RETENTION_MS / 1e3)
+    return binding + size.caches * ROW_KB + size.document_bytes / 1e3
+
+
+CELLS: tuple[Cell, ...] = (
+    Cell("director, serving", "processor, mean director", "cores", "requests x director_request_us(kB)",
+         _serving(lambda s: s.requests_per_director), Mark.DERIVED, "net/front, net/caches", 1.0),
+    Cell("director, serving", "processor, p99 director", "cores", "as above x p99 over mean",
+         _serving(_p99_rate), Mark.DERIVED, "net/front, net/caches; more directors", 1.0),
+    Cell("director, serving", "messages", "requests/s", "requests a second / directors",
+         lambda s, _: s.requests_per_director, Mark.DERIVED, "net/front"),
+    Cell("director, serving", "bytes out, mean director", "MB/s", "bits / 8 / directors",
+         lambda s, _: s.bits_per_s / 8e6 / s.directors, Mark.DERIVED, "net/front, net/outbox"),
+    Cell("director, serving", "memory, idle with all links", "MB", "director_memory_kb(caches)",
+         lambda s, got: got.at("director_memory_kb", s.caches) / 1e3, Mark.MEASURED, "net/caches"),
+    Cell("director, control", "processor, mean director", "cores", "feed + popularity + list changes",
+         _control(lambda s: s.requests_per_director), Mark.DERIVED, "net/subscription, logic", CORE_SHARE),
+    Cell("director, control", "processor, p99 director", "cores", "as above at the p99 rate",
+         _control(_p99_rate), Mark.DERIVED, "net/subscription, logic", CORE_SHARE),
+    Cell("director, control", "of it the feed with purges", "cores", "hollow fleet, x purges",
+         _feed_share, Mark.MEASURED, "net/subscription, net/director_feed", CORE_SHARE),
+    Cell("director, control", "of it popularity, mean director", "cores", "popularity_ms_per_s(counted)",
+         _popularity(lambda s: s.requests_per_director), Mark.DERIVED, "logic.py", CORE_SHARE),
+    Cell("director, control", "of it popularity, p99 director", "cores", "the same at the p99 rate",
+         _popularity(_p99_rate), Mark.DERIVED, "logic.py", CORE_SHARE),
+    Cell("director, control", "of it purges alone", "cores", "purge_ms_per_s(purges)",
+         _purge_share, Mark.DERIVED, "core/members, logic", CORE_SHARE),
+    Cell("director, control", "of it list changes", "cores", "changes an hour x list_change_us(caches)",
+         _list_share, Mark.DERIVED, "net/coordinator, logic", CORE_SHARE),
+    Cell("director, control", "longest turn of the loop", "ms", "popularity_turn_ms(objects counted, p99)",
+         _turn, Mark.DERIVED, "logic.py", STEP_TURN_MS),
+    Cell("director, control", "memory", "MB", "counted_kb(objects) + hollow director + documents",
+         _control_mb, Mark.DERIVED, "logic, net/director_feed", CONTROL_MB),
+    Cell("director, control", "bytes in, steady", "bytes/s", "hollow fleet, x purges",
+         _director_bytes, Mark.MEASURED, "distribution/", CONTROL_BYTES),
+    Cell("director, control", "bytes in, burst of changes", "bytes/s", "steady + burst x bytes / 5 s",
+         _burst_bytes, Mark.DERIVED, "distribution/publisher", CONTROL_BYTES),
+    Cell("feed's publisher", "processor", "cores", "events x (publish_us + node_ms(relays))",
+         _publisher_share, Mark.DERIVED, "distribution/publisher, durable", 1.0),
+    Cell("feed's publisher", "state", "rows", "caches + purges x 60 s + documents",
+         lambda s, _: s.caches + s.purges_per_s * 60 + 64, Mark.DERIVED, "distribution/replica"),
+    Cell("feed's publisher", "bytes out", "kB/s", "relays x steady bytes",
+         lambda s, got: _relays(s) * _director_bytes(s, got) / 1e3, Mark.DERIVED, "net/fanout_server"),
+    Cell("feed's publisher", "snapshot", "kB", "snapshot_kb(purges x 60 s) + rows + documents",
+         lambda s, got: _snapshot_kb(s, got), Mark.DERIVED, "distribution/replica"),
+    Cell("today: one coordinator", "processor", "cores", "single fleet, x directors x purges",
+         _single_share, Mark.MEASURED, "the lab's stand-in", 1.0),
+    Cell("control machine, relay", "followers", "connections", "directors / (machines - 2)",
+         lambda s, _: _followers(s), Mark.DERIVED, "distribution/tree", 256.0),
+    Cell("control machine, relay", "followers, four lost", "connections", "directors / (machines - 6)",
+         lambda s, _: _followers(s, 4), Mark.DERIVED, "distribution/tree", 256.0),
+    Cell("control machine, relay", "processor", "cores", "events x node_ms_per_event(followers)",
+         _relay_share(0), Mark.DERIVED, "net/fanout_server", 1.0),
+    Cell("control machine, relay", "processor, four lost", "cores", "the same with four fewer",
+         _relay_share(4), Mark.DERIVED, "net/fanout_server", 1.0),
+    Cell("control machine, relay", "bytes out", "kB/s", "followers x steady bytes",
+         lambda s, got: _followers(s) * _director_bytes(s, got) / 1e3, Mark.DERIVED, "net/fanout_server"),
+    Cell("administration API, store", "changes", "1/s", "changes a day / 86,400",
+         lambda s, _: s.changes_per_day / DAY_S, Mark.DERIVED, "admin/, store/"),
+    Cell("administration API, store", "log of a year", "MB", "changes x (bytes + 200)",
+         lambda s, _: s.changes_per_day * 365 * (s.change_bytes + 200) / 1e6, Mark.DERIVED, "store/", 512.0),
+    Cell("parent cache, origin", "connections at one", "connections", "directors x links to one",
+         lambda s, _: float(s.directors * s.links_per_cache), Mark.DERIVED, "net/caches (2 to 8 a director)"),
+    Cell("traces, figures", "bytes written, all directors", "MB/s", "requests x trace_bytes slope",
+         _trace_mb_per_s, Mark.DERIVED, "trace/; collection is missing"),
+    Cell("traces, figures", "bytes of a day", "TB", "the same x 86,400",
+         lambda s, got: _trace_mb_per_s(s, got) * DAY_S / 1e6, Mark.DERIVED, "missing"),
+)  # fmt: skip
+
+
+def read_inputs(folder: Path) -> Inputs:
+    """The measured figures in a folder: `slopes.json`, and `fleet-SHAPE-FAULT.json` of each fleet."""
+    told = json.loads((folder / "slopes.json").read_text())
+    fits = {name: fit_of(row) for name, row in told["sweeps"].items()}
+    fleets = {
+        path.stem.removeprefix("fleet-"): json.loads(path.read_text()) for path in folder.glob("fleet-*.json")
+    }
+    return Inputs(fits, fleets, str(told["revision"]))
+
+
+def _shown(value: float) -> str:
+    return f"{value:.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+
+def _headroom(cell: Cell, value: float) -> str:
+    if cell.budget is None:
+        return "-"
+    times = value / cell.budget
+    return f"{1 - times:.0%}" if times <= 1 else f"**{times:.1f} times over**"
+
+
+def _two_columns(first: str, second: str, rows: Sequence[tuple[str, str]]) -> str:
+    head = [f"| {first} | {second} |", "| --- | --- |"]
+    return "\n".join([*head, *(f"| {name} | {value} |" for name, value in rows)])
+
+
+def drivers(size: Size) -> str:
+    """What follows from the size by arithmetic, as a Markdown table."""
+    rows = [
+        ("directors a site, even", f"{size.directors / size.sites:.1f}"),
+        ("directors at the largest site", f"{size.directors_at_largest_site}"),
+        ("caches a site, even", f"{size.caches / size.sites:.1f}"),
+        ("caches at the largest site", f"{size.caches_at_largest_site}"),
+        ("requests a second, mean director", f"{size.requests_per_director:.0f}"),
+        ("requests a second, p99 director", f"{_p99_rate(size):.0f}"),
+        ("bytes of an answer, mean", f"{size.request_bytes / 1e3:.0f} kB"),
+        ("objects counted at once, mean and p99 director",
+         f"{size.objects_counted(size.requests_per_director):.0f}, {_counted(size, _p99_rate(size)):.0f}"),
+        ("rows of the list that change an hour", f"{size.list_changes_per_hour:.0f}"),
+        ("purges of a group, a second", f"{size.purges_per_s * size.group_purge_share:.1f}"),
+        ("purges of an object, a second", f"{size.purges_per_s * (1 - size.group_purge_share):.1f}"),
+        ("directors of a region, mean", f"{size.directors / size.regions:.0f}"),
+        ("configuration changes a second, mean and in a burst",
+         f"{size.changes_per_day / DAY_S:.4f}, {size.changes_per_s_in_burst:.1f}"),
+    ]  # fmt: skip
+    return "\n".join(
+        ["| driver | value |", "| --- | --- |", *(f"| {name} | {value} |" for name, value in rows)]
+    )
+
+
+def roles(size: Size, got: Inputs, factor: float = 2.0) -> str:
+    """All cells for a size and for a multiple of it, as a Markdown table."""
+    grown = size.times(factor)
+    lines = [
+        f"| role | what | now | {factor:g} times | budget | headroom | formula | mark | mechanism |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for cell in CELLS:
+        now, then = cell.compute(size, got), cell.compute(grown, got)
+        budget = "-" if cell.budget is None else _shown(cell.budget)
+        lines.append(
+            f"| {cell.role} | {cell.kind} | {_shown(now)} {cell.unit} | {_shown(then)} | {budget} |"
+            f" {_headroom(cell, now)} | {cell.formula} | {cell.mark.value} | {cell.mechanism} |"
+        )
+    return "\n".join(lines)
+
+
+def broken(size: Size, got: Inputs) -> list[tuple[float, Cell]]:
+    """Cells over their budget, with how many times over, worst first."""
+    rows = [(cell.compute(size, got) / cell.budget, cell) for cell in CELLS if cell.budget]
+    return sorted(((times, cell) for times, cell in rows if times > 1), key=lambda row: -row[0])
+
+
+def faster(got: Inputs) -> Sequence[str]:
+    """Names of figures that grow faster than their driver."""
+    return [name for name, each in got.fits.items() if each.grows_faster]
+
+
+def bad_days(size: Size, got: Inputs) -> str:
+    """Figures of bad days that follow from the model, as a Markdown table."""
+    region = size.directors / size.regions
+    events = REGION_CUT_S * _events_per_s(size)
+    backlog = REGION_CUT_S * (
+        size.purges_per_s * EVENT_BYTES + size.changes_per_day / DAY_S * size.change_bytes * 1.1
+    )
+    snapshot = _snapshot_kb(size, got)
+    per_s = AdmissionLimits().per_s
+    rows = [
+        ("events missed in a cut of ten minutes", f"{events:.0f}"),
+        ("their bytes, for one director", f"{backlog / 1e3:.0f} kB of {LOG_BYTES / 1e3:.0f} kB of log"),
+        ("directors that return at once, mean region", f"{region:.0f}"),
+        ("bytes for them, replayed", f"{region * backlog / 1e6:.0f} MB"),
+        ("time to admit them at one relay", f"{max(0.0, region - AdmissionLimits().burst) / per_s:.2f} s"),
+        ("time to admit all directors at all relays", f"{size.directors / per_s / _relays(size):.1f} s"),
+        ("bytes if all directors load a snapshot", f"{size.directors * snapshot / 1e3:.0f} MB"),
+        ("restarts a second, all within an hour", f"{size.directors / 3600:.2f}"),
+        ("directors that a bad change reaches", f"{size.directors} of {size.directors}"),
+    ]  # fmt: skip
+    return "\n".join(
+        ["| what | figure |", "| --- | --- |", *(f"| {name} | {value} |" for name, value in rows)]
+    )
+
+
+def page(size: Size, got: Inputs) -> str:
+    """All tables of docs/CAPACITY.md that follow from the measured figures."""
+    over = [
+        f"1. {cell.role}, {cell.kind}: {times:.1f} times over ({cell.mechanism})"
+        for times, cell in broken(size, got)
+    ]
+    grows = [f"- `{name}`: power {got.fits[name].power:.2f}" for name in faster(got)]
+    parts = [
+        f"Figures of revision {got.revision}.",
+        "### Drivers", drivers(size),
+        "### Roles", roles(size, got),
+        "### Budgets broken", "\n".join(over) or "None.",
+        "### Grows faster than its driver", "\n".join(grows) or "Nothing measured.",
+        "### Bad days in figures", bad_days(size, got),
+    ]  # fmt: skip
+    return "\n\n".join(parts)
--- a/onyxwick/lab/scale/sweeps.py
+++ b/onyxwick/lab/scale/sweeps.py
@@ -197,7 +197,8 @@
     longest turn."""
     rng = random.Random(objects)
     router = Router(settings(), 7, START)
-    router.counts = {f"{n:016x}": (rng.paretovariate(1.1), START) for n in range(objects)}
+    for n in range(objects):
+        router._count(f"{n:016x}", rng.paretovariate(1.1))
     now, spent, longest = START, 0.0, 0.0
     end = START + POPULARITY_PERIODS * 2 * S
     while now < end:
@@ -219,6 +220,20 @@
     return _popularity(objects)[1] * 1e3
 
 
+def counted_kb(objects: int) -> float:
+    """Memory of the module's counts of so many objects."""
+    import tracemalloc
+
+    router = Router(settings(), 7, START)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for n in range(objects):
+        router._count(f"{n:016x}", 1.0)
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return grown / 1e3
+
+
 # ---- the distribution tree ------------------------------------------------------------------------------
 
 
@@ -286,6 +301,7 @@
     Sweep("known_ms", "events at the start", "ms", (250, 500, 1000, 2000, 4000), known_ms, 3),
     Sweep("popularity_ms_per_s", "objects counted", "ms a second", COUNTED, popularity_ms_per_s),
     Sweep("popularity_turn_ms", "objects counted", "ms", COUNTED, popularity_turn_ms),
+    Sweep("counted_kb", "objects counted", "kB", COUNTED, counted_kb, 1),
     Sweep("snapshot_ms", "binding purges", "ms", BINDING, snapshot_ms),
     Sweep("snapshot_kb", "binding purges", "kB", BINDING, snapshot_kb, 2),
     Sweep("publish_us", "binding purges stored", "us a purge", (100, 300, 900, 2_700, 8_100), publish_us, 3),
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,6 +15,7 @@
 import pytest
 
 from onyxwick import interface as i
+from onyxwick.config import relay
 from onyxwick.core import Answer, Verdict
 from onyxwick.core.engine import unix_us
 from onyxwick.core.model import Order, Outcome
@@ -742,7 +743,7 @@
             await ground.front.accept_rest(ground.door)
         await ground.until(lambda: len(taken) == 4 * places)
         assert ground.front.counters.counts["client.displaced"] >= places
-        lingering = max(front.SHUT_LEAST, places // front.SHUT_SHARE)
+        lingering = max(relay.SHUT_LEAST, places // relay.SHUT_SHARE)
         assert most <= places + lingering + front.GIVEN_UP_MOST
         assert first
 
