--- a/onyxwick/logic.py
+++ b/onyxwick/logic.py
@@ -10,6 +10,7 @@
 import heapq
 import math
 import random
+from bisect import bisect_left, bisect_right
 from collections import deque
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
@@ -61,8 +62,7 @@
 ROOM_STEP = 0.005  # gained by each answer in time: against LATE_CUT it sets the late share that is borne
 
 
-# What a moment asks for again and again; more would be memory for what never comes.
-@lru_cache(maxsize=1 << 12)
+@lru_cache(maxsize=1 << 12)  # what a moment asks for again and again
 def _draw(key: str, address: str) -> float:
     """A stable exponential draw for a key at a member; the least, over its weight, comes first."""
     word = int.from_bytes(blake2b(f"{key}|{address}".encode(), digest_size=8).digest(), "big")
@@ -157,7 +157,8 @@
         self.out: list[i.Action] = []
         self.due: list[tuple[int, int, str, int]] = []  # (time, sequence, request or "", attempt)
         self.sequence, self.wake = 0, -1
-        self.counts: dict[str, tuple[float, int]] = {}  # object: (count, at)
+        # By object, in the units of a time (all halve alike); those below `forgotten` at a step are no more.
+        self.counts, self.counted_from, self.forgotten = dict[str, float](), now, 0.0
         self.gold_cut, self.bronze_cut = math.inf, 1.0
         self.shift = 0.0  # T2's distance from 'seen once', as a share of the table
         self.hits: dict[str, dict[str, int]] = {}  # cache: object: last hit
@@ -204,8 +205,6 @@
                 case i.Purged(group, name, age):
                     key = (group, None) if name is None else (None, name)
                     self.marks[key] = max(now - age, self.marks.get(key, 0))
-                case _:
-                    pass
         while self.due and self.due[0][0] <= now:
             _, _, request, attempt = heapq.heappop(self.due)
             if not request:
@@ -228,9 +227,8 @@
         if event.kind is i.ListKind.FAILED:
             self.unsubscribed = self.set.subscribe  # asked anew at the next step: no storm on a failing list
             return
-        named: dict[str, None] = {}
+        named = dict.fromkeys(m.address for m in event.members)
         for m in event.members:
-            named[m.address] = None
             peer = self.peers.get(m.address)
             if peer is None:
                 if m.state is not i.State.GONE:
@@ -265,10 +263,10 @@
     # ---- popularity -----------------------------------------------------------------------------------
 
     def _count(self, name: str, add: float = 0.0) -> float:
-        count, at = self.counts.get(name, (0.0, self.now))
-        count = count * math.exp2((at - self.now) / HALF_LIFE_US) + add
+        unit = math.exp2((self.now - self.counted_from) / HALF_LIFE_US)  # all halve alike: one read grows
+        count = held / unit + add if (held := self.counts.get(name, 0.0)) >= self.forgotten else add
         if add and (name in self.counts or len(self.counts) < TABLE_MAX):
-            self.counts[name] = (count, self.now)
+            self.counts[name] = count * unit
         return count
 
     def _rank(self, ask: i.RequestArrived, kind: i.RequestClass) -> int:
@@ -297,26 +295,29 @@
         for seen in self.hits.values():
             for name in [n for n, at in seen.items() if at < floor]:
                 del seen[name]
-        for name in [n for n in self.counts if self._count(n) < 0.1]:
-            del self.counts[name]
-        if len(self.counts) >= TABLE_MAX:  # room for what is new: the lesser half goes
-            for name in sorted(self.counts, key=self._count)[: TABLE_MAX // 2]:
-                del self.counts[name]
+        unit = math.exp2((self.now - self.counted_from) / HALF_LIFE_US)
+        ranked, self.forgotten = sorted(self.counts.values()), 0.1 * unit
+        ranked = ranked[bisect_left(ranked, self.forgotten) :]
+        if len(ranked) >= TABLE_MAX:  # room for what is new: the lesser half goes
+            ranked, self.forgotten = ranked[TABLE_MAX // 2 :], ranked[TABLE_MAX // 2]
+        if len(ranked) < 0.75 * len(self.counts) or len(self.counts) > 0.75 * TABLE_MAX:  # seldom
+            self.counts = {n: c for n, c in self.counts.items() if c >= self.forgotten}
         settled = self.now - self.set.rules.purge_settles_us - S
         self.marks = {k: at for k, at in self.marks.items() if at > settled}
-        ranked = sorted((self._count(n) for n in self.counts), reverse=True)
         room = sum(len(seen) for seen in self.hits.values()) / max(1, len(self.hits))
         t1 = int(ALPHA * room * math.sqrt(self.set.routers_in_zone))  # the others' hits are partly others
-        self.gold_cut = max(ranked[t1 - 1], 1.001) if 0 < t1 <= len(ranked) else math.inf
+        self.gold_cut = max(ranked[-t1] / unit, 1.001) if 0 < t1 <= len(ranked) else math.inf
         share = self.answers[0] / max(1, self.answers[1])
         well = share >= self.hit_share and self.fill.mean <= FILL_GROWTH * self.fill_level
         self.shift += -T2_STEP if well else T2_STEP  # fewer hits, or fills that grow slow: keep more
         self.hit_share, self.fill_level, self.answers = share, self.fill.mean, [0, 0]
-        once = sum(c > 1.0 for c in ranked)
-        least = sum(c > 2.0 for c in ranked)  # never bronze: seen more than twice
+        once, least = (len(ranked) - bisect_right(ranked, n * unit) for n in (1, 2))  # over 2: never bronze
         t2 = min(max(once + int(self.shift * len(ranked)), least), len(ranked))
         self.shift = (t2 - once) / max(1, len(ranked)) if t2 in (least, len(ranked)) else self.shift
-        self.bronze_cut = ranked[t2] if t2 < len(ranked) else 0.0
+        self.bronze_cut = ranked[-1 - t2] / unit if t2 < len(ranked) else 0.0
+        if unit > 1e100:  # long before a float ends
+            self.counts, self.counted_from = {n: c / unit for n, c in self.counts.items()}, self.now
+            self.forgotten /= unit
 
     # ---- placement ------------------------------------------------------------------------------------
 
@@ -616,10 +617,9 @@
         if not flight.pending:
             return
         flight.pending = False
-        key = (event.request, event.attempt)
         for p in (flight.peer, flight.source, flight.behind):
             if p is not None:
-                p.pending.pop(key, None)
+                p.pending.pop((event.request, event.attempt), None)
                 p.ended_at, p.lasted = self.now, event.latency_us
         if not event.status.proves_unrun and job.maybe_ran is None:
             job.maybe_ran = flight
