Tree: parents in different racks; a line that is too long is passed over; fits weigh sizes alike

Need: of twelve relays in three racks a lost rack took both parents of 9% of directors; a document of 5 MB in one line made a follower reconnect to it without end; unweighted lines hid what small sizes cost. Change: `plan` takes failure domains; an oversized line becomes an event that cannot be read, counted, with its number; weighted least squares; a fleet's cut tells the oldest view and the catching up.

--- a/onyxwick/cli/distribution.py
+++ b/onyxwick/cli/distribution.py
@@ -43,15 +43,22 @@
 @click.option("--directors", type=click.IntRange(1, 100_000), default=1000, show_default=True)
 @click.option("--width", type=click.IntRange(1, 4096), default=256, show_default=True)
 @click.option("--parents", type=click.IntRange(2, 8), default=2, show_default=True)
+@click.option(
+    "--racks", type=click.IntRange(1, 4096), default=1, show_default=True, help="Of relays, in turn."
+)
 @click.option("--each/--loads", default=False, help="Each director's parents, or the relays' loads alone.")
-def tree(relays: int, directors: int, width: int, parents: int, each: bool) -> None:
-    """The tree of so many relays and directors, as JSON; exit 2 where it does not fit the width."""
+def tree(relays: int, directors: int, width: int, parents: int, racks: int, each: bool) -> None:
+    """The tree of so many relays and directors, as JSON; exit 2 where it does not fit the width.
+
+    With racks, each director's parents stand in different ones.
+    """
     from onyxwick.distribution.tree import TreeError, TreeLimits, plan
 
     names = [f"relay-{number}" for number in range(1, relays + 1)]
     leaves = [f"director-{number}" for number in range(1, directors + 1)]
     try:
-        rows = plan("root", names, leaves, TreeLimits(width, parents))
+        domains = {name: f"rack-{place % racks}" for place, name in enumerate(names)} if racks > 1 else {}
+        rows = plan("root", names, leaves, TreeLimits(width, parents), domains)
     except TreeError as error:
         raise Unusable(str(error)) from None
     loads = Counter(rows[leaf][0] for leaf in leaves)
--- a/onyxwick/cli/scale.py
+++ b/onyxwick/cli/scale.py
@@ -81,7 +81,11 @@
         shape=Shape(shape), directors=directors, regions=regions, hosts=hosts, caches=caches, seconds=seconds,
         purges_per_s=purges, changes=changes, fault=fault, cut_s=cut_s, seed=seed, slot=slot,
     )  # fmt: skip
-    report = uvloop.run(Fleet(told, lambda text: click.echo(text, err=True)).run())
+    try:
+        fleet_of = Fleet(told, lambda text: click.echo(text, err=True))
+    except ValueError as error:
+        raise Unusable(str(error)) from None
+    report = uvloop.run(fleet_of.run())
     click.echo(json.dumps(report))
     if report["starved"]:
         click.echo("the machine was short of cores: no verdict on times", err=True)
--- a/onyxwick/distribution/codec.py
+++ b/onyxwick/distribution/codec.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from hashlib import blake2b
 from typing import Any
 
@@ -33,6 +34,9 @@
 )
 
 GONE = "DELETED"
+HEAD_BYTES = 64
+"""Of a line that is too long, what is kept to read its number from."""
+_INDEX = re.compile(rb'\s*\{\s*"index"\s*:\s*(\d{1,19})\b').match
 _CACHE_STATES = ("SERVING", "DRAINING", GONE)
 
 
@@ -190,6 +194,16 @@
     return b"follow %d\n" % cursor.packed
 
 
+def stub_of(head: bytes) -> bytes:
+    """A short line in place of one that is too long, of which only the beginning was kept.
+
+    It has the event's number, if that could be read: the event is passed over like any other that cannot be
+    read, and not asked for again and again.
+    """
+    found = _INDEX(head)
+    return b'{"index":%s,"oversized":true}' % found[1] if found is not None else b"oversized"
+
+
 def decode_follow(line: bytes) -> Cursor:
     """The cursor that a subscriber resumes from; MalformedLineError where the line is no `follow N`."""
     words = line.split()
--- a/onyxwick/distribution/tree.py
+++ b/onyxwick/distribution/tree.py
@@ -30,9 +30,14 @@
 
 
 def plan(
-    root: str, relays: Sequence[str], leaves: Sequence[str], limits: TreeLimits | None = None
+    root: str,
+    relays: Sequence[str],
+    leaves: Sequence[str],
+    limits: TreeLimits | None = None,
+    domains: Mapping[str, str] | None = None,
 ) -> Mapping[str, tuple[str, ...]]:
-    """The parents of each relay and leaf, the first one preferred.
+    """The parents of each relay and leaf, the first one preferred. `domains`: the failure domain (a rack) of
+    each relay; a leaf's parents are in different ones as long as there are enough of them.
 
     Depth is two hops below the root: relays follow the root and, as second parents, relays before them in
     the order of their names (so that no circle can form); leaves follow relays.
@@ -40,7 +45,7 @@
     limits = limits or TreeLimits()
     _check(relays, leaves, limits)
     out = {relay: _relay_parents(root, relays, place, limits) for place, relay in enumerate(relays)}
-    out |= _leaf_parents(relays, leaves, limits)
+    out |= _leaf_parents(relays, leaves, limits, domains or {})
     return out
 
 
@@ -65,7 +70,7 @@
 
 
 def _leaf_parents(
-    relays: Sequence[str], leaves: Sequence[str], limits: TreeLimits
+    relays: Sequence[str], leaves: Sequence[str], limits: TreeLimits, domains: Mapping[str, str]
 ) -> dict[str, tuple[str, ...]]:
     most = math.ceil(limits.slack * len(leaves) / len(relays))
     loads = [dict.fromkeys(relays, 0) for _ in range(limits.parents)]
@@ -74,15 +79,20 @@
         order = sorted(relays, key=lambda name: _draw(leaf, name))
         chosen: list[str] = []
         for load in loads:
-            parent = next(
-                (name for name in order if name not in chosen and load[name] < most),
-                min((name for name in order if name not in chosen), key=load.__getitem__),
-            )
+            open_to = _elsewhere([name for name in order if name not in chosen], chosen, domains)
+            parent = next((name for name in open_to if load[name] < most), min(open_to, key=load.__getitem__))
             load[parent] += 1
             chosen.append(parent)
         out[leaf] = tuple(chosen)
     return out
 
 
+def _elsewhere(names: list[str], chosen: Sequence[str], domains: Mapping[str, str]) -> list[str]:
+    """Those outside the failure domains of the parents chosen so far; all of them where none is."""
+    taken = {domains[name] for name in chosen if name in domains}
+    outside = [name for name in names if domains.get(name) not in taken]
+    return outside or names
+
+
 def _draw(child: str, parent: str) -> bytes:
     return blake2b(f"{child}|{parent}".encode(), digest_size=8).digest()
--- a/onyxwick/lab/scale/capacity.py
+++ b/onyxwick/lab/scale/capacity.py
@@ -11,8 +11,11 @@
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
+from statistics import median
 from typing import Any
 
+import numpy as np
+
 from onyxwick.distribution.admission import AdmissionLimits
 from onyxwick.distribution.replica import LOG_BYTES, PURGE_RETENTION_MS
 from onyxwick.lab.scale.fits import Fit
@@ -44,12 +47,23 @@
     """What was measured: fits by name, and the reports of fleets by shape and fault."""
 
     fits: Mapping[str, Fit]
+    points: Mapping[str, Sequence[tuple[float, float]]]
     fleets: Mapping[str, Mapping[str, Any]]
     revision: str
 
     def at(self, name: str, driver: float) -> float:
-        """A fitted figure for a driver."""
-        return self.fits[name].at(driver)
+        """A figure for a driver: by its line or, where no line fits, between the medians measured, and past
+        the largest by the power law of the upper half."""
+        each = self.fits[name]
+        if each.is_line:
+            return each.at(driver)
+        sizes = sorted({size for size, _ in self.points[name]})
+        medians = [
+            median(value for size, value in self.points[name] if size == each_size) for each_size in sizes
+        ]
+        if driver > sizes[-1]:
+            return float(medians[-1] * (driver / sizes[-1]) ** each.power)
+        return float(np.interp(driver, sizes, medians))
 
     def fleet(self, name: str) -> Mapping[str, Any]:
         """A fleet's report; KeyError where that one was not run."""
@@ -244,7 +258,8 @@
     fleets = {
         path.stem.removeprefix("fleet-"): json.loads(path.read_text()) for path in folder.glob("fleet-*.json")
     }
-    return Inputs(fits, fleets, str(told["revision"]))
+    points = {name: [tuple(point) for point in row["points"]] for name, row in told["sweeps"].items()}
+    return Inputs(fits, points, fleets, str(told["revision"]))
 
 
 def _shown(value: float) -> str:
--- a/onyxwick/lab/scale/fits.py
+++ b/onyxwick/lab/scale/fits.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import numpy as np
-from scipy import stats
+from scipy import optimize, stats
 
 CONFIDENCE = 0.95
 MOST_RESIDUAL = 0.2
@@ -15,6 +15,8 @@
 STEEPER = 1.15
 """Power of the driver from which a cost is said to grow faster than its driver."""
 LEAST_SIZES = 5
+LEAST_SCALE = 0.02
+"""Of the largest median: what a smaller one is taken for when residuals are set against it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,28 +51,33 @@
 
 
 def fit(points: Sequence[tuple[float, float]]) -> Fit:
-    """The line of least squares; ValueError under five sizes. Relative weights: a large size counts no more
-    than a small one."""
+    """The line of least squares, each point weighted by its size's median: a large size counts no more than a
+    small one. ValueError under five sizes."""
     x = np.array([point[0] for point in points], dtype=float)
     y = np.array([point[1] for point in points], dtype=float)
     sizes = np.unique(x)
     if len(sizes) < LEAST_SIZES:
         raise ValueError(f"{len(sizes)} sizes, {LEAST_SIZES} at least")
-    line = stats.linregress(x, y)
-    half = stats.t.ppf((1 + CONFIDENCE) / 2, len(x) - 2)
     medians = np.array([np.median(y[x == size]) for size in sizes])
-    values = line.intercept + line.slope * sizes
-    scale = np.maximum(np.abs(medians), np.abs(medians).max() * 0.05)
+    scale = np.maximum(np.abs(medians), np.abs(medians).max() * LEAST_SCALE)
+    (slope, constant), covariance = optimize.curve_fit(
+        _line, x, y, p0=(1.0, 0.0), sigma=scale[np.searchsorted(sizes, x)]
+    )
+    half = stats.t.ppf((1 + CONFIDENCE) / 2, len(x) - 2) * np.sqrt(np.diag(covariance))
     return Fit(
-        slope=float(line.slope),
-        slope_interval=float(half * line.stderr),
-        constant=float(line.intercept),
-        constant_interval=float(half * line.intercept_stderr),
-        residual=float(np.max(np.abs(medians - values) / scale)),
+        slope=float(slope),
+        slope_interval=float(half[0]),
+        constant=float(constant),
+        constant_interval=float(half[1]),
+        residual=float(np.max(np.abs(medians - _line(sizes, slope, constant)) / scale)),
         power=_power(sizes, medians),
     )
 
 
+def _line(x: Any, slope: float, constant: float) -> Any:
+    return slope * x + constant
+
+
 def _power(sizes: Any, medians: Any) -> float:
     """The exponent over the upper half of the sizes; 0 where the cost does not grow at all."""
     upper = sizes >= np.median(sizes)
--- a/onyxwick/lab/scale/fleet.py
+++ b/onyxwick/lab/scale/fleet.py
@@ -43,6 +43,9 @@
 START_S = 60.0
 STARVED_SHARE, STARVED_LAG_MS = 0.92, 100.0
 RELAYS_OF_A_REGION = 2
+MOST_PROCESSES, OTHER_PROCESSES = 200, 4
+DIRECTOR_KB, PROCESS_KB = 1_000, 80_000
+"""What a hollow director and a process are reckoned at, on the safe side."""
 FAULTS = ("none", "kill", "pause", "restart", "cut")
 
 
@@ -69,6 +72,17 @@
     seed: int = 1
 
 
+def check(told: FleetPlan) -> None:
+    """ValueError where a plan would take more than half of the machine's memory, or 200 processes."""
+    processes = told.hosts + told.regions * RELAYS_OF_A_REGION + OTHER_PROCESSES
+    if processes > MOST_PROCESSES:
+        raise ValueError(f"{processes} processes, {MOST_PROCESSES} at most")
+    needed = told.directors * DIRECTOR_KB + processes * PROCESS_KB
+    total = int(Path("/proc/meminfo").read_text().split()[1])
+    if needed > total // 2:
+        raise ValueError(f"some {needed // 1024} MB needed, half of the machine's {total // 1024} MB at most")
+
+
 @dataclass
 class _Node:
     """A process of the distribution tree."""
@@ -141,6 +155,7 @@
     """One run; `progress` is told what goes on."""
 
     def __init__(self, told: FleetPlan, progress: Callable[[str], None]) -> None:
+        check(told)
         self.plan, self.progress = told, progress
         self.rng = random.Random(told.seed)
         self.folder = Path(tempfile.mkdtemp(prefix="onyxwick-scale-"))
@@ -157,6 +172,7 @@
         self.index = 0
         self.published = Published()
         self.lags: list[float] = []
+        self.oldest_view_s = self.caught_up_s = 0.0  # of a cut: the oldest view at its end, the last one back
 
     # ---- setting up -----------------------------------------------------------------------------------
 
@@ -326,8 +342,14 @@
         way.cut_there = way.cut_back = True
         way.changed()
         await asyncio.sleep(self.plan.cut_s)
+        ages = [age for host in self.hosts for age in await host.ask("ages")]
+        self.oldest_view_s = max(ages, default=0.0)
         way.cut_there = way.cut_back = False
         way.changed()
+        healed, missed = time.monotonic(), max(await self._places())
+        while min(await self._places()) < missed:
+            await asyncio.sleep(0.02)
+        self.caught_up_s = time.monotonic() - healed
 
     # ---- the run --------------------------------------------------------------------------------------
 
@@ -430,6 +452,11 @@
             out["bytes_per_s_a_director"] = round(
                 (after["sent_bytes"] - before["sent_bytes"]) / elapsed / self.plan.directors, 1
             )
+        if self.plan.fault == "cut":
+            out["oldest_view_s"], out["caught_up_s"] = (
+                round(self.oldest_view_s, 2),
+                round(self.caught_up_s, 2),
+            )
         if self.plan.fault == "restart":
             out["restarted_first_purge_ms"] = seen.after_restart()
         return out
--- a/onyxwick/lab/scale/hollow.py
+++ b/onyxwick/lab/scale/hollow.py
@@ -173,6 +173,13 @@
         assert self.coordinator is not None
         return self.coordinator.last
 
+    def age_s(self) -> float | None:
+        """Seconds since the publisher was last heard from; None where the feed does not tell."""
+        if self.subscription is None:
+            return None
+        age = self.subscription.follower.age_us(unix_us())
+        return None if age is None else age / 1e6
+
     def tables(self) -> dict[str, int]:
         """Sizes of what a director keeps: each has to have a bound that does not depend on its product with
         another."""
@@ -237,6 +244,8 @@
                 self.pipe.send([director.place for director in self.directors])
             case "cpu":
                 self.pipe.send((time.process_time(), resident_kb(os.getpid())))
+            case "ages":
+                self.pipe.send([age for director in self.directors if (age := director.age_s()) is not None])
             case "restart":
                 chosen = [d for d in self.directors if d.number in argument]
                 task = asyncio.get_running_loop().create_task(self._restart(chosen))
--- a/onyxwick/net/subscription.py
+++ b/onyxwick/net/subscription.py
@@ -11,6 +11,7 @@
 from onyxwick.core.engine import unix_us
 from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
 from onyxwick.counters import Counters
+from onyxwick.distribution.codec import HEAD_BYTES, stub_of
 from onyxwick.distribution.follower import (
     Action,
     Connect,
@@ -67,6 +68,7 @@
         self.owner = owner
         self.transport: asyncio.Transport | None = None
         self._rest = bytearray()
+        self._oversized = b""  # the beginning of a line that is too long, while the rest of it is passed over
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast("asyncio.Transport", transport)  # uvloop's own does not inherit from it
@@ -75,13 +77,22 @@
         self._rest += data
         end = self._rest.rfind(b"\n")
         if end < 0:
-            if len(self._rest) > MAX_LINE_BYTES:
-                self.owner.connection_failed(self, "line too long")
+            self._bound()
             return
         lines = bytes(self._rest[:end]).split(b"\n")
         del self._rest[: end + 1]
+        if self._oversized:
+            lines[0], self._oversized = stub_of(self._oversized), b""
         self.owner.received(self, lines)
 
+    def _bound(self) -> None:
+        """Keep of a line that is too long only its beginning."""
+        if self._oversized:
+            self._rest.clear()
+        elif len(self._rest) > MAX_LINE_BYTES:
+            self._oversized = bytes(self._rest[:HEAD_BYTES])
+            self._rest.clear()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.owner.connection_failed(self, repr(exc) if exc is not None else "closed by the parent")
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
+from collections.abc import Mapping
 
 import pytest
 
+from onyxwick.counters import Counters
 from onyxwick.distribution import codec
 from onyxwick.distribution.admission import Admission, AdmissionLimits
 from onyxwick.distribution.documents import Assembler, DocumentError, split
 from onyxwick.distribution.durable import DurableFeed
 from onyxwick.distribution.fanout import FanOut, FanOutLimits, SubscriberState
 from onyxwick.distribution.follower import (
+    PLAIN_COORDINATOR,
     TRANSITIONS,
     Connect,
     Deliver,
@@ -29,6 +33,7 @@
     Cursor,
     Event,
     FeedGapError,
+    Freshness,
     IllegalTransitionError,
     MalformedLineError,
     PublishRefusedError,
@@ -41,6 +46,7 @@
 from onyxwick.distribution.publisher import Publisher, PublisherLimits, new_history
 from onyxwick.distribution.replica import EventLog, PurgeTable, Replica, Snapshot
 from onyxwick.distribution.tree import TreeError, TreeLimits, plan
+from onyxwick.net.subscription import Subscription
 from onyxwick.store.engine import Engine
 from tests.faulty_files import FaultyFiles
 from tests.feed_world import START, Faults, Node, S, World
@@ -254,6 +260,48 @@
         codec.decode_follow(b"follow 99999999999999999999999")
 
 
+def test_a_line_of_five_megabytes_is_passed_over_and_the_feed_goes_on() -> None:
+    async def main() -> tuple[list[int], int]:
+        big = b'{"index":2,"document":{"text":"' + b"x" * 5_000_000 + b'"}}\n'
+        small = [codec.encode_event(Cursor(0, n), purge(n).payload).line for n in (1, 3)]
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readline()
+            writer.write(small[0] + big + small[1])
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        had: list[int] = []
+
+        class Sink:
+            def deliver(self, event: Event, from_snapshot: bool) -> None:
+                had.append(event.cursor.number)
+
+            def install(self, snapshot: Snapshot) -> None: ...
+
+            def refresh(self, freshness: Freshness) -> None: ...
+
+        follower = Follower(1, NoWait(), limits=PLAIN_COORDINATOR)
+        address = server.sockets[0].getsockname()
+        task = asyncio.create_task(Subscription(follower, [address], Sink(), Counters()).run())
+        async with asyncio.timeout(10):
+            while 3 not in had:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        server.close()
+        return had, follower.counts["bad.event"]
+
+    assert asyncio.run(main()) == ([1, 2, 3], 1)
+    assert codec.decode(codec.stub_of(b'{"index":7,"document":{"te')) == Event(
+        Cursor(0, 7), UnknownPayload("no known payload among ['index', 'oversized']"),
+        b'{"index":7,"oversized":true}\n',
+    )  # fmt: skip
+    with pytest.raises(MalformedLineError):
+        codec.decode(codec.stub_of(b"x" * 64))
+
+
 def test_documents_over_the_bound_or_with_wrong_parts_are_refused() -> None:
     publisher = Publisher(filled(0), START)
     with pytest.raises(PublishRefusedError, match="at most"):
@@ -457,6 +505,21 @@
         plan("root", relays[:3], leaves, TreeLimits(width=100))
 
 
+def test_a_lost_rack_leaves_every_director_a_parent() -> None:
+    relays, leaves = [f"r{n}" for n in range(12)], [f"d{n}" for n in range(1000)]
+    racks = {relay: f"rack-{n % 3}" for n, relay in enumerate(relays)}
+
+    def cut_off(rows: Mapping[str, tuple[str, ...]]) -> int:
+        return sum(all(racks[parent] == "rack-0" for parent in rows[leaf]) for leaf in leaves)
+
+    assert cut_off(plan("root", relays, leaves)) > 50, "without failure domains a rack takes both parents"
+    rows = plan("root", relays, leaves, domains=racks)
+    assert cut_off(rows) == 0
+    for place in (0, 1):
+        loads = [sum(rows[leaf][place] == relay for leaf in leaves) for relay in relays]
+        assert max(loads) <= 1.1 * 1000 / 12 + 1
+
+
 # ---- whole trees under faults ---------------------------------------------------------------------------
 
 
