Fleet: a host's report goes out on a blocking pipe, and a command without an answer ends the run

Observed: the first run at 1,000 directors stood still after its load: BlockingIOError in Connection.send, as the event loop makes the pipe's descriptor non-blocking and a report of some MB does not fit into it. Not seen with 30. Change: the descriptor is blocking again; each command waits 60 s at most.

--- a/onyxwick/lab/scale/fleet.py
+++ b/onyxwick/lab/scale/fleet.py
@@ -41,6 +41,7 @@
 SETTLE_S = 20.0
 STATUS_S = 0.2
 START_S = 60.0
+ANSWER_S = 60.0
 STARVED_SHARE, STARVED_LAG_MS = 0.92, 100.0
 RELAYS_OF_A_REGION = 2
 MOST_PROCESSES, OTHER_PROCESSES = 200, 4
@@ -129,8 +130,10 @@
     pipe: Pipe
 
     async def ask(self, word: str, argument: Any = None) -> Any:
-        """One command and its answer."""
+        """One command and its answer; TimeoutError where none comes."""
         self.pipe.send((word, argument))
+        if not await asyncio.to_thread(self.pipe.poll, ANSWER_S):
+            raise TimeoutError(f"no answer to '{word}'")
         return await asyncio.to_thread(self.pipe.recv)
 
     def end(self) -> None:
--- a/onyxwick/lab/scale/hollow.py
+++ b/onyxwick/lab/scale/hollow.py
@@ -225,6 +225,7 @@
         """Serve until told to stop."""
         loop = asyncio.get_running_loop()
         loop.add_reader(self.pipe.fileno(), self._command)
+        os.set_blocking(self.pipe.fileno(), True)  # the loop has it otherwise, and a report is long
         for director in self.directors:
             director.start()
         trickle = loop.create_task(self._trickle())
