Fleet: witnesses in a process of their own tell how long events take to one director

Change: one director of each region runs alone in a process; its delays are told beside those of all.

--- a/onyxwick/lab/scale/fleet.py
+++ b/onyxwick/lab/scale/fleet.py
@@ -44,7 +44,7 @@
 ANSWER_S = 60.0
 STARVED_SHARE, STARVED_LAG_MS = 0.92, 100.0
 RELAYS_OF_A_REGION = 2
-MOST_PROCESSES, OTHER_PROCESSES = 200, 4
+MOST_PROCESSES, OTHER_PROCESSES = 200, 5
 DIRECTOR_KB, PROCESS_KB = 1_000, 80_000
 """What a hollow director and a process are reckoned at, on the safe side."""
 FAULTS = ("none", "kill", "pause", "restart", "cut")
@@ -173,6 +173,7 @@
         self.coordinator: _Child | None = None
         self.full: subprocess.Popen[bytes] | None = None
         self.index = 0
+        self.witnesses = min(told.regions, told.directors)
         self.published = Published()
         self.lags: list[float] = []
         self.oldest_view_s = self.caught_up_s = 0.0  # of a cut: the oldest view at its end, the last one back
@@ -240,10 +241,14 @@
         return out
 
     def _start_hosts(self) -> None:
+        """The witnesses, one director of each region, have a process of their own: how long events take to
+        them is not lengthened by what hundreds of others do in the same process."""
         parents = self._parents()
-        for host in range(self.plan.hosts):
-            mine = {n: parents[n] for n in parents if n % self.plan.hosts == host}
-            spec = HostSpec(self.plan.shape, mine, self.plan.requests_per_s)
+        crowd = [n for n in parents if n >= self.witnesses]
+        groups = [list(range(self.witnesses))]
+        groups += [[n for n in crowd if n % self.plan.hosts == host] for host in range(self.plan.hosts)]
+        for group in groups:
+            spec = HostSpec(self.plan.shape, {n: parents[n] for n in group}, self.plan.requests_per_s)
             self.hosts.append(self._spawn(host_main, spec))
 
     async def _start_full(self) -> None:
@@ -442,6 +447,7 @@
             "lost": seen.lost(self.published.purges), "disordered": sum(r["disordered"] for r in reports),
             "settled_s": settled,
             "delay_ms": {kind.name.lower(): seen.delays(kind) for kind in Kind},
+            "witness_delay_ms": {k.name.lower(): seen.delays(k, self.witnesses) for k in Kind},
             "cores": {name: round(value, 4) for name, value in share.items()},
             "core_share_a_director": round(share["hosts"] / self.plan.directors, 6),
             "full_director_share": round(share.get("full", 0.0), 6),
@@ -497,9 +503,10 @@
         for report in reports:
             self.since |= report["since_ns"]
 
-    def delays(self, kind: Kind) -> dict[str, float]:
-        """Quantiles of the time from publication to application, in milliseconds."""
-        chosen = self.delay[self.kinds == kind.value]
+    def delays(self, kind: Kind, below: int = 1 << 30) -> dict[str, float]:
+        """Quantiles of the time from publication to application, in milliseconds, at directors whose number
+        is below one given."""
+        chosen = self.delay[(self.kinds == kind.value) & (self.directors < below)]
         if not len(chosen):
             return {"count": 0}
         told = np.percentile(chosen, [50, 99, 100])
