Front: reading calls and the listening socket in modules of their own

Change: net/calls.py (a FastCGI call as a core request, an answer as records) and net/listening.py (bound or handed down); `Whose` is `OwnerFields`.

--- a/onyxwick/admin/http.py
+++ b/onyxwick/admin/http.py
@@ -15,7 +15,8 @@
 from onyxwick.config.address import written
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer
-from onyxwick.net.front import ACCEPT_PAUSE_S, listen
+from onyxwick.net.front import ACCEPT_PAUSE_S
+from onyxwick.net.listening import listen
 
 log = logs.get()
 MOST_BODY, MOST_HEAD = 524_288, 16_384
--- a/onyxwick/dns/server.py
+++ b/onyxwick/dns/server.py
@@ -28,7 +28,7 @@
 from onyxwick.counters import Counters
 from onyxwick.dns import lookup, naming, update
 from onyxwick.net.buffer import Buffer
-from onyxwick.net.front import listen
+from onyxwick.net.listening import listen
 from onyxwick.store.errors import StoreError
 from onyxwick.tenants import Zone, read_zone
 
--- a/onyxwick/lab/scale/capacity.py
+++ b/onyxwick/lab/scale/capacity.py
@@ -111,7 +111,7 @@
 
 
 def _feed_share(size: Size, got: Inputs) -> float:
-    return float(got.fleet("tree-none")["core_share_a_director"]) * size.purges_per_s / MEASURED_PURGES
+    return float(got.fleet("tree-quiet")["core_share_a_director"]) * size.purges_per_s / MEASURED_PURGES
 
 
 def _list_share(size: Size, got: Inputs) -> float:
@@ -122,21 +122,30 @@
     return got.at("purge_ms_per_s", size.purges_per_s) / 1e3
 
 
+def _idle_share(size: Size, got: Inputs) -> float:
+    return got.at("director_idle_ms_per_s", size.caches_at_largest_site) / 1e3
+
+
+def _idle_mb(size: Size, got: Inputs) -> float:
+    return got.at("director_memory_kb", size.caches_at_largest_site) / 1e3
+
+
 def _control(rate: Callable[[Size], float]) -> Formula:
     def compute(size: Size, got: Inputs) -> float:
-        return _feed_share(size, got) + _popularity(rate)(size, got) + _list_share(size, got)
+        rest = _popularity(rate)(size, got) + _list_share(size, got)
+        return _feed_share(size, got) + rest + _idle_share(size, got)
 
     return compute
 
 
 def _control_mb(size: Size, got: Inputs) -> float:
     counted = got.at("counted_kb", _counted(size, _p99_rate(size)))
-    feed = float(got.fleet("tree-none")["memory_kb_a_director"])
+    feed = float(got.fleet("tree-quiet")["memory_kb_a_director"])
     return (counted + feed + size.document_bytes / 1e3) / 1e3
 
 
 def _director_bytes(size: Size, got: Inputs) -> float:
-    measured = float(got.fleet("tree-none")["bytes_per_s_a_director"])
+    measured = float(got.fleet("tree-quiet")["bytes_per_s_a_director"])
     return measured * size.purges_per_s / MEASURED_PURGES
 
 
@@ -194,9 +203,9 @@
          lambda s, _: s.requests_per_director, Mark.DERIVED, "net/front"),
     Cell("director, serving", "bytes out, mean director", "MB/s", "bits / 8 / directors",
          lambda s, _: s.bits_per_s / 8e6 / s.directors, Mark.DERIVED, "net/front, net/outbox"),
-    Cell("director, serving", "memory, idle with all links", "MB", "director_memory_kb(caches)",
-         lambda s, got: got.at("director_memory_kb", s.caches) / 1e3, Mark.MEASURED, "net/caches"),
-    Cell("director, control", "processor, mean director", "cores", "feed + popularity + list changes",
+    Cell("director, serving", "memory, idle, all links", "MB", "director_memory_kb(caches linked)",
+         _idle_mb, Mark.DERIVED, "net/caches"),
+    Cell("director, control", "processor, mean director", "cores", "idle + feed + popularity + list",
          _control(lambda s: s.requests_per_director), Mark.DERIVED, "net/subscription, logic", CORE_SHARE),
     Cell("director, control", "processor, p99 director", "cores", "as above at the p99 rate",
          _control(_p99_rate), Mark.DERIVED, "net/subscription, logic", CORE_SHARE),
@@ -206,6 +215,8 @@
          _popularity(lambda s: s.requests_per_director), Mark.DERIVED, "logic.py", CORE_SHARE),
     Cell("director, control", "of it popularity, p99 director", "cores", "the same at the p99 rate",
          _popularity(_p99_rate), Mark.DERIVED, "logic.py", CORE_SHARE),
+    Cell("director, control", "of it timers when idle", "cores", "director_idle_ms_per_s(caches linked)",
+         _idle_share, Mark.MEASURED, "net/front, net/caches: sweeps", CORE_SHARE),
     Cell("director, control", "of it purges alone", "cores", "purge_ms_per_s(purges)",
          _purge_share, Mark.DERIVED, "core/members, logic", CORE_SHARE),
     Cell("director, control", "of it list changes", "cores", "changes an hour x list_change_us(caches)",
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -25,9 +25,10 @@
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
-from onyxwick.net import front
+from onyxwick.net import listening
 from onyxwick.net.caches import Caches
 from onyxwick.net.coordinator import Coordinator
+from onyxwick.net.front import Front
 
 if TYPE_CHECKING:
     from onyxwick.config.service import ServiceConfig
@@ -102,7 +103,7 @@
         if service is not None:
             service.attach(self.core, self.members, self.counters)
             service.pace(self.coordinator, self.caches)
-        self.front = front.Front(
+        self.front = Front(
             self.core,
             self.counters,
             self.is_ready,
@@ -199,7 +200,7 @@
             return self._enter(State.STOPPED)
         self.handed = handed is not None
         opened: contextlib.AbstractContextManager[socket.socket] = (
-            front.listen(self.config.listen) if handed is None else contextlib.nullcontext(handed)
+            listening.listen(self.config.listen) if handed is None else contextlib.nullcontext(handed)
         )
         with opened as sock:
             loop, side = asyncio.get_running_loop(), list[asyncio.Task[None]]()
@@ -242,7 +243,7 @@
         from onyxwick.door.server import Door
 
         try:
-            bound = front.listen(address)
+            bound = listening.listen(address)
         except OSError as error:
             raise Unusable(
                 f"the operators' door cannot listen on {written(address)}: {error.strerror}"
@@ -329,7 +330,7 @@
     logs.set_up()
     try:
         told, service = relay.load(), read_service()
-        handed = None if told.listen_fd is None else front.held(told.listen_fd)
+        handed = None if told.listen_fd is None else listening.held(told.listen_fd)
     except ConfigError as error:
         print(f"onyxwick: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/onyxwick/net/calls.py
@@ -0,0 +1,98 @@
+"""FastCGI calls read as core requests, and answers written as FastCGI records. No sockets."""
+
+from __future__ import annotations
+
+import re
+
+from onyxwick import interface as i
+from onyxwick.core import Answer, Request, Verdict
+from onyxwick.net import fastcgi
+
+STATUS = {
+    Verdict.SERVED: "200 OK",
+    Verdict.REFUSED: "503 Service Unavailable",
+    Verdict.FAILED: "502 Bad Gateway",
+}
+
+_HEX16 = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
+_PLAIN = re.compile(rb"[!-+.-<>-~-]{0,128}").fullmatch  # what may stand in a field of the caches' protocol
+MOST_PARTS = 65_535  # of one object
+MOST_NAMED = 64  # bytes of a tenant's or site's name
+Params = dict[bytes, bytes]
+
+
+def _hexadecimal(params: Params, name: bytes) -> str:
+    text = params.get(name, b"")
+    if not _HEX16(text):
+        raise ValueError(f"bad {name.decode()}")
+    return text.decode()
+
+
+def _whole(params: Params, name: bytes, least: int, most: int) -> int:
+    text = params.get(name, b"0")
+    if not text.isdigit() or not least <= int(text[:12]) <= most:
+        raise ValueError(f"bad {name.decode()}")
+    return int(text)
+
+
+def read_request(
+    params: Params, body: bytes, now: int, classes: dict[str, i.RequestClass], owner: OwnerFields
+) -> Request:
+    """The core request that a call asks for; ValueError names the field that cannot be used."""
+    class_name = params[b"SCRIPT_NAME"].removeprefix(b"/call/").decode("latin-1")
+    kind = classes.get(class_name)
+    if kind is None:
+        raise ValueError("unknown class")  # no cache could use it
+    held, again = params.get(b"HTTP_X_GOT", b"").strip(b'"'), params.get(b"HTTP_X_RETRY", b"0")
+    key = params.get(b"HTTP_IDEMPOTENCY_KEY", b"")
+    if not _PLAIN(held) or not _PLAIN(key) or again not in (b"0", b"1"):
+        raise ValueError("bad X_GOT, IDEMPOTENCY_KEY or X_RETRY")
+    if body and not kind.write:
+        raise ValueError("body of a request that writes nothing")
+    return Request(
+        id=_hexadecimal(params, b"HTTP_X_REQUEST_ID"),
+        class_name=class_name,
+        object=_hexadecimal(params, b"HTTP_X_OBJECT"),
+        part=_whole(params, b"HTTP_X_NTH", 0, MOST_PARTS),
+        group=_whole(params, b"HTTP_X_BATCH", 0, 255) if b"HTTP_X_BATCH" in params else None,
+        arrived_us=now,
+        timeout_us=_whole(params, b"HTTP_X_TIMEOUT_MS", 1, 2 * kind.deadline_us // 1000) * 1000,
+        repeat=again == b"1",
+        body=body,
+        held_tag=held.decode("latin-1"),
+        key=key.decode("latin-1"),
+        tenant=_named(params, owner.tenant, "tenant"),
+        site=_named(params, owner.site, "site"),
+    )
+
+
+class OwnerFields:
+    """The request fields that name the tenant and the client's site, where the installation tells them
+    apart."""
+
+    def __init__(self, tenant_field: str = "", site_field: str = "") -> None:
+        self.tenant, self.site = _parameter(tenant_field), _parameter(site_field)
+
+
+def _parameter(field: str) -> bytes:
+    return f"HTTP_{field.upper().replace('-', '_')}".encode() if field else b""
+
+
+def _named(params: Params, name: bytes, what: str) -> str | None:
+    """What a field names; None: the request does not say, or nobody wants to know."""
+    text = params.get(name, b"") if name else b""
+    if len(text) > MOST_NAMED or not text.isascii():
+        raise ValueError(f"bad {what}")
+    return text.decode() or None
+
+
+def answer_bytes(number: int, answer: Answer) -> bytes:
+    """The FastCGI records of a final answer to the call of this number."""
+    headers = {"Content-Type": "application/octet-stream"}
+    if answer.tag:
+        headers["ETag"] = f'"{answer.tag}"'
+    if answer.verdict is Verdict.SERVED and answer.unchanged:
+        headers["X-Ok304"] = "1"
+    if answer.verdict is Verdict.REFUSED and answer.retry_after_us:
+        headers["Retry-After-Ms"] = str(max(1, answer.retry_after_us // 1000))
+    return fastcgi.answer(number, STATUS[answer.verdict], headers, answer.body)
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -4,21 +4,20 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
-from onyxwick import interface as i
 from onyxwick import logs
-from onyxwick.config import ConfigError
 from onyxwick.config.relay import SHUT_LEAST, SHUT_SHARE
-from onyxwick.core import Answer, Core, Request, RequestLifecycle, Verdict
+from onyxwick.core import Answer, Core, RequestLifecycle, Verdict
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi, room
 from onyxwick.net.buffer import ended, readable, unread
+from onyxwick.net.calls import OwnerFields, answer_bytes, read_request
+from onyxwick.net.listening import BACKLOG
 from onyxwick.net.outbox import Outbox, Parcel, Tally
 
 if TYPE_CHECKING:
@@ -27,142 +26,22 @@
 log = logs.get()
 STALLED_S = 10.0  # a client that takes nothing for so long is cut off
 HALF_S = 2.0  # a connection that has sent nothing, or half a request, for so long is ended
-IDLE_S = (
-    4.8  # the platform's clients close what is idle for 4 s; who holds on longer takes a place for nothing
-)
+IDLE_S = 4.8
+"""The platform's clients close what is idle for 4 s; who holds on longer takes a place for nothing."""
 UNREAD_WAIT_US = 500_000  # what is not read is cut off in seconds: no use in coming back before
 FAULTS = 16  # bad input on one connection after which it is ended
 FAULT_PAUSE_S = 0.02  # after bad input, times the faults so far: it comes again as fast as it is answered
-LINGER_S = (
-    0.5  # what a client still sends is read for so long, as a close on unread bytes takes the answer away
-)
+LINGER_S = 0.5
+"""What a client still sends is read for so long, as a close on unread bytes takes the answer away."""
 READ_S = 0.01
 PASSED_ON_US = 100_000  # a new call while the connection is to end: the client is told to come back so soon
 LOOK_S = 0.05  # between two looks whether a client that is not read from has gone
 SWEEP_S = 0.25
-BACKLOG = 1024  # connections that wait to be accepted
 ACCEPT_TURN = 32  # accepted in one turn of the loop
-GIVEN_UP_MOST = (
-    8  # given up and not closed yet, before more are accepted: a close takes some turns of the loop
-)
+GIVEN_UP_MOST = 8
+"""Connections given up and not closed yet before more are accepted: a close takes some turns of the loop."""
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed, for want of descriptors as a rule
-STATUS = {
-    Verdict.SERVED: "200 OK",
-    Verdict.REFUSED: "503 Service Unavailable",
-    Verdict.FAILED: "502 Bad Gateway",
-}
-
-
-def listen(address: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.listen(BACKLOG)
-    sock.setblocking(False)
-    return sock
-
-
-def held(fd: int) -> socket.socket:
-    """The listening socket that the platform holds and hands down; it is served on, never bound or closed.
-
-    ConfigError where the descriptor is no listening TCP socket over IPv4.
-    """
-    intent = "likely intent: the descriptor of the clients' listening socket that the platform holds, as 7"
-    try:
-        sock = socket.socket(fileno=fd)
-    except OSError as error:
-        told = f"variable 'RELAY_LISTEN_FD': descriptor {fd}: {error.strerror}"
-        raise ConfigError(f"{told}; {intent}") from None
-    kind = sock.family is socket.AF_INET and sock.type is socket.SOCK_STREAM
-    if not kind or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-        sock.detach()  # not ours to close
-        raise ConfigError(f"variable 'RELAY_LISTEN_FD': descriptor {fd} is no listening TCP socket; {intent}")
-    sock.setblocking(False)
-    return sock
-
-
-_HEX16 = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
-_PLAIN = re.compile(rb"[!-+.-<>-~-]{0,128}").fullmatch  # what may stand in a field of the caches' protocol
-MOST_PARTS = 65_535  # of one object
-MOST_NAMED = 64  # bytes of a tenant's or site's name
-Params = dict[bytes, bytes]
-
-
-def _hexadecimal(params: Params, name: bytes) -> str:
-    text = params.get(name, b"")
-    if not _HEX16(text):
-        raise ValueError(f"bad {name.decode()}")
-    return text.decode()
-
-
-def _whole(params: Params, name: bytes, least: int, most: int) -> int:
-    text = params.get(name, b"0")
-    if not text.isdigit() or not least <= int(text[:12]) <= most:
-        raise ValueError(f"bad {name.decode()}")
-    return int(text)
-
-
-def read_request(
-    params: Params, body: bytes, now: int, classes: dict[str, i.RequestClass], whose: Whose
-) -> Request:
-    """The core request that a call asks for; ValueError names the field that cannot be used."""
-    class_name = params[b"SCRIPT_NAME"].removeprefix(b"/call/").decode("latin-1")
-    kind = classes.get(class_name)
-    if kind is None:
-        raise ValueError("unknown class")  # no cache could use it
-    held, again = params.get(b"HTTP_X_GOT", b"").strip(b'"'), params.get(b"HTTP_X_RETRY", b"0")
-    key = params.get(b"HTTP_IDEMPOTENCY_KEY", b"")
-    if not _PLAIN(held) or not _PLAIN(key) or again not in (b"0", b"1"):
-        raise ValueError("bad X_GOT, IDEMPOTENCY_KEY or X_RETRY")
-    if body and not kind.write:
-        raise ValueError("body of a request that writes nothing")
-    return Request(
-        id=_hexadecimal(params, b"HTTP_X_REQUEST_ID"),
-        class_name=class_name,
-        object=_hexadecimal(params, b"HTTP_X_OBJECT"),
-        part=_whole(params, b"HTTP_X_NTH", 0, MOST_PARTS),
-        group=_whole(params, b"HTTP_X_BATCH", 0, 255) if b"HTTP_X_BATCH" in params else None,
-        arrived_us=now,
-        timeout_us=_whole(params, b"HTTP_X_TIMEOUT_MS", 1, 2 * kind.deadline_us // 1000) * 1000,
-        repeat=again == b"1",
-        body=body,
-        held_tag=held.decode("latin-1"),
-        key=key.decode("latin-1"),
-        tenant=_named(params, whose.tenant, "tenant"),
-        site=_named(params, whose.site, "site"),
-    )
-
-
-class Whose:
-    """The request fields that name the tenant and the client's site, where the installation tells them
-    apart."""
-
-    def __init__(self, tenant_field: str = "", site_field: str = "") -> None:
-        self.tenant, self.site = _parameter(tenant_field), _parameter(site_field)
-
-
-def _parameter(field: str) -> bytes:
-    return f"HTTP_{field.upper().replace('-', '_')}".encode() if field else b""
-
-
-def _named(params: Params, name: bytes, what: str) -> str | None:
-    """What a field names; None: the request does not say, or nobody wants to know."""
-    text = params.get(name, b"") if name else b""
-    if len(text) > MOST_NAMED or not text.isascii():
-        raise ValueError(f"bad {what}")
-    return text.decode() or None
-
-
-def answer_bytes(number: int, answer: Answer) -> bytes:
-    headers = {"Content-Type": "application/octet-stream"}
-    if answer.tag:
-        headers["ETag"] = f'"{answer.tag}"'
-    if answer.verdict is Verdict.SERVED and answer.unchanged:
-        headers["X-Ok304"] = "1"
-    if answer.verdict is Verdict.REFUSED and answer.retry_after_us:
-        headers["Retry-After-Ms"] = str(max(1, answer.retry_after_us // 1000))
-    return fastcgi.answer(number, STATUS[answer.verdict], headers, answer.body)
 
 
 class Client:
@@ -364,7 +243,7 @@
         try:
             front = self.front
             now = front.core.now()
-            request = read_request(call.params, call.body, now, front.classes, front.whose)
+            request = read_request(call.params, call.body, now, front.classes, front.owner_fields)
         except ValueError as error:
             self._fault(str(error))
             return self._send(call.number, fastcgi.answer(call.number, "400 Bad Request", {}, b""))
@@ -455,7 +334,7 @@
         tenant_field: str = "",
         site_field: str = "",
     ) -> None:
-        self.holding, self.whose = holding, Whose(tenant_field, site_field)
+        self.holding, self.owner_fields = holding, OwnerFields(tenant_field, site_field)
         limits = core.settings.limits
         self.retry_us = min(limits.max_retry_after_us, UNREAD_WAIT_US) if limits.retry_after else 0
         self.passed_on_us = min(limits.max_retry_after_us, PASSED_ON_US) if limits.retry_after else 0
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -19,7 +19,8 @@
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi
 from onyxwick.net.caches import Caches
-from onyxwick.net.front import Front, listen
+from onyxwick.net.front import Front
+from onyxwick.net.listening import listen
 from tests.world import SETTINGS, member
 
 PATIENCE_S = 10.0
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -16,8 +16,9 @@
     "onyxwick.config.relay", "onyxwick.core", "onyxwick.core.engine", "onyxwick.core.members",
     "onyxwick.core.model", "onyxwick.core.pacing", "onyxwick.counters", "onyxwick.interface",
     "onyxwick.lifecycle", "onyxwick.logic", "onyxwick.logs", "onyxwick.net", "onyxwick.net.buffer",
-    "onyxwick.net.caches", "onyxwick.net.coordinator", "onyxwick.net.fastcgi", "onyxwick.net.front",
-    "onyxwick.net.outbox", "onyxwick.net.resp", "onyxwick.net.room", "onyxwick.settings",
+    "onyxwick.net.caches", "onyxwick.net.calls", "onyxwick.net.coordinator", "onyxwick.net.fastcgi",
+    "onyxwick.net.front", "onyxwick.net.listening", "onyxwick.net.outbox", "onyxwick.net.resp",
+    "onyxwick.net.room", "onyxwick.settings",
 }  # fmt: skip
 NEVER = ("scipy", "numpy", "msgspec", "matplotlib", "lark", "dns", "click", "cryptography", "httptools")
 _IMPORT = re.compile(r"import time:\s+\d+ \|\s+\d+ \|\s*(\S+)").match
