Fleet: delays count only what was published while a director was up

Observed: with a fifth restarted, purges' p99 was 7.3 s: what the restarted ones loaded of the time before their start counted as late by it. Change: such observations are left out of the delays; losses are counted as before.

--- a/onyxwick/lab/scale/fleet.py
+++ b/onyxwick/lab/scale/fleet.py
@@ -502,11 +502,16 @@
         self.since: dict[int, int] = {}
         for report in reports:
             self.since |= report["since_ns"]
+        started = np.zeros(max(self.since, default=0) + 1, dtype="i8")
+        for number, since in self.since.items():
+            started[number] = since
+        # What a restarted director loads of the time before its start is not late by that time.
+        self.while_up = self.published >= started[self.directors]
 
     def delays(self, kind: Kind, below: int = 1 << 30) -> dict[str, float]:
         """Quantiles of the time from publication to application, in milliseconds, at directors whose number
         is below one given."""
-        chosen = self.delay[(self.kinds == kind.value) & (self.directors < below)]
+        chosen = self.delay[(self.kinds == kind.value) & (self.directors < below) & self.while_up]
         if not len(chosen):
             return {"count": 0}
         told = np.percentile(chosen, [50, 99, 100])
