--- a/onyxwick/lab/scale/capacity.py
+++ b/onyxwick/lab/scale/capacity.py
@@ -126,6 +126,10 @@
     return got.at("director_idle_ms_per_s", size.caches_at_largest_site) / 1e3
 
 
+def _year_mb(size: Size, _: Inputs) -> float:
+    return size.changes_per_day * 365 * (size.change_bytes + 200) / 1e6
+
+
 def _idle_mb(size: Size, got: Inputs) -> float:
     return got.at("director_memory_kb", size.caches_at_largest_site) / 1e3
 
@@ -251,8 +255,8 @@
          lambda s, got: _followers(s) * _director_bytes(s, got) / 1e3, Mark.DERIVED, "net/fanout_server"),
     Cell("administration API, store", "changes", "1/s", "changes a day / 86,400",
          lambda s, _: s.changes_per_day / DAY_S, Mark.DERIVED, "admin/, store/"),
-    Cell("administration API, store", "log of a year", "MB", "changes x (bytes + 200)",
-         lambda s, _: s.changes_per_day * 365 * (s.change_bytes + 200) / 1e6, Mark.DERIVED, "store/", 512.0),
+    Cell("administration API, store", "changes of a year, not compacted", "MB", "changes x (bytes + 200)",
+         _year_mb, Mark.DERIVED, "store/: compacted"),
     Cell("parent cache, origin", "connections at one", "connections", "directors x links to one",
          lambda s, _: float(s.directors * s.links_per_cache), Mark.DERIVED, "net/caches (2 to 8 a director)"),
     Cell("traces, figures", "bytes written, all directors", "MB/s", "requests x trace_bytes slope",
