--- a/onyxwick/cli/scale.py
+++ b/onyxwick/cli/scale.py
@@ -74,7 +74,8 @@
     """Hollow directors under a publisher's events; exit 1 where an event was lost, repeated or disordered."""
     import uvloop
 
-    from onyxwick.lab.scale.fleet import Fleet, FleetPlan
+    from onyxwick.lab.scale.fleet import Fleet
+    from onyxwick.lab.scale.fleet_plan import FleetPlan
     from onyxwick.lab.scale.hollow import Shape
 
     told = FleetPlan(
--- a/onyxwick/lab/scale/fleet.py
+++ b/onyxwick/lab/scale/fleet.py
@@ -17,10 +17,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
-from contextlib import suppress
-from dataclasses import asdict, dataclass, field
-from multiprocessing.connection import Connection as Pipe
+from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +32,16 @@
 from onyxwick.distribution.tree import TreeLimits, plan
 from onyxwick.lab.faults.relay import Relay as LinkRelay
 from onyxwick.lab.faults.relay import Way
+from onyxwick.lab.scale.fleet_plan import RELAYS_OF_A_REGION, FleetPlan, check
+from onyxwick.lab.scale.fleet_processes import Child, NodeProcess
+from onyxwick.lab.scale.fleet_results import (
+    Applied,
+    Published,
+    largest,
+    machine_busy,
+    short_status,
+    summed,
+)
 from onyxwick.lab.scale.hollow import DOCUMENTS, HostSpec, Kind, Shape, coordinator_main, host_main
 from onyxwick.lab.scale.processes import cpu_s, reachable, resident_kb
 from onyxwick.lab.scale.sweeps import CONFIG, rows
@@ -41,117 +49,7 @@
 SETTLE_S = 20.0
 STATUS_S = 0.2
 START_S = 60.0
-ANSWER_S = 60.0
 STARVED_SHARE, STARVED_LAG_MS = 0.92, 100.0
-RELAYS_OF_A_REGION = 2
-MOST_PROCESSES, OTHER_PROCESSES = 200, 5
-DIRECTOR_KB, PROCESS_KB = 1_000, 80_000
-"""What a hollow director and a process are reckoned at, on the safe side."""
-FAULTS = ("none", "kill", "pause", "restart", "cut")
-
-
-@dataclass(frozen=True, slots=True)
-class FleetPlan:
-    """What is run. `fault` happens at a third of the time; `cut_s`: how long a region is cut, a relay paused
-    or gone."""
-
-    shape: Shape = Shape.TREE
-    directors: int = 1000
-    regions: int = 3
-    hosts: int = 6
-    caches: int = 190
-    seconds: float = 60.0
-    purges_per_s: float = 21.0
-    list_changes_per_s: float = 0.5
-    changes: int = 650
-    bursts: int = 10
-    change_bytes: int = 500
-    requests_per_s: float = 0.05
-    fault: str = "none"
-    cut_s: float = 20.0
-    slot: int = 0
-    seed: int = 1
-
-
-def check(told: FleetPlan) -> None:
-    """ValueError where a plan would take more than half of the machine's memory, or 200 processes."""
-    processes = told.hosts + told.regions * RELAYS_OF_A_REGION + OTHER_PROCESSES
-    if processes > MOST_PROCESSES:
-        raise ValueError(f"{processes} processes, {MOST_PROCESSES} at most")
-    needed = told.directors * DIRECTOR_KB + processes * PROCESS_KB
-    total = int(Path("/proc/meminfo").read_text().split()[1])
-    if needed > total // 2:
-        raise ValueError(f"some {needed // 1024} MB needed, half of the machine's {total // 1024} MB at most")
-
-
-@dataclass
-class _Node:
-    """A process of the distribution tree."""
-
-    name: str
-    listen: Address
-    file: Path
-    out: Path
-    process: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        with self.out.open("ab") as out:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "onyxwick", "distribution", "run", str(self.file)],
-                stdout=out, stderr=subprocess.DEVNULL,
-            )  # fmt: skip
-
-    def signal(self, number: signal.Signals) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def end(self) -> None:
-        if self.process is None:
-            return
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGTERM)
-        try:
-            self.process.wait(15)
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
-
-    def status(self) -> dict[str, Any]:
-        """The last status that it printed."""
-        lines = [line for line in self.out.read_text().splitlines() if line.startswith('{"name"')]
-        return dict(ujson.loads(lines[-1])) if lines else {}
-
-
-@dataclass
-class _Child:
-    """A process of the lab with a pipe."""
-
-    process: multiprocessing.process.BaseProcess
-    pipe: Pipe
-
-    async def ask(self, word: str, argument: Any = None) -> Any:
-        """One command and its answer; TimeoutError where none comes."""
-        self.pipe.send((word, argument))
-        if not await asyncio.to_thread(self.pipe.poll, ANSWER_S):
-            raise TimeoutError(f"no answer to '{word}'")
-        return await asyncio.to_thread(self.pipe.recv)
-
-    def end(self) -> None:
-        with suppress(OSError):
-            self.pipe.send(("stop", None))
-        self.process.join(15)
-        if self.process.is_alive():
-            self.process.terminate()
-            self.process.join(5)
-
-
-@dataclass
-class Published:
-    """When each event was published, by the monotonic clock."""
-
-    purges: list[int] = field(default_factory=list)
-    lists: list[int] = field(default_factory=list)
-    documents: list[int] = field(default_factory=list)
 
 
 class Fleet:
@@ -165,12 +63,12 @@
         self.base = f"127.{150 + told.slot}"
         self.feed: Address = (f"{self.base}.0.1", 7070)
         self.context = multiprocessing.get_context("spawn")
-        self.nodes: dict[str, _Node] = {}
+        self.nodes: dict[str, NodeProcess] = {}
         self.regions = [f"g{n}" for n in range(told.regions)]
         self.ways = {region: Way(region, "core") for region in self.regions}
         self.links: list[LinkRelay] = []
-        self.hosts: list[_Child] = []
-        self.coordinator: _Child | None = None
+        self.hosts: list[Child] = []
+        self.coordinator: Child | None = None
         self.full: subprocess.Popen[bytes] | None = None
         self.index = 0
         self.witnesses = min(told.regions, told.directors)
@@ -180,20 +78,20 @@
 
     # ---- setting up -----------------------------------------------------------------------------------
 
-    def _spawn(self, target: Callable[..., None], *arguments: Any) -> _Child:
+    def _spawn(self, target: Callable[..., None], *arguments: Any) -> Child:
         ours, theirs = self.context.Pipe()
         process = self.context.Process(target=target, args=(*arguments, theirs), daemon=True)
         process.start()
         theirs.close()
-        return _Child(process, ours)
+        return Child(process, ours)
 
-    def _node(self, name: str, number: int, fields: str) -> _Node:
+    def _node(self, name: str, number: int, fields: str) -> NodeProcess:
         listen = (f"{self.base}.1.{number + 1}", 7400)
         head = f'  name = "{name}"\n  listen = "{written(listen)}"\n  width = 2048\n'
         text = f"distribution {{\n{head}{fields}\n}}\n"
         file = self.folder / f"{name}.hcl"
         file.write_text(text)
-        node = self.nodes[name] = _Node(name, listen, file, self.folder / f"{name}.out")
+        node = self.nodes[name] = NodeProcess(name, listen, file, self.folder / f"{name}.out")
         return node
 
     async def _uplink(self, region: str, number: int, target: Address) -> Address:
@@ -396,11 +294,11 @@
             raise RuntimeError("the fleet did not come up")
         self.progress(f"{self.plan.directors} directors follow; publishing for {self.plan.seconds:g} s")
         await asyncio.sleep(2.0)
-        before, used = await self._spent(), _machine_busy()
+        before, used = await self._spent(), machine_busy()
         begin = time.monotonic()
         fault = asyncio.create_task(self._fault(self.plan.seconds))
         await self._publish(self.plan.seconds)
-        after, busy = await self._spent(), _machine_busy()
+        after, busy = await self._spent(), machine_busy()
         elapsed = time.monotonic() - begin
         await fault
         settled = await self._converged(SETTLE_S, self.index if self.plan.shape is Shape.SINGLE else 1)
@@ -438,7 +336,7 @@
         lag = float(np.percentile(self.lags, 99)) if self.lags else 0.0
         starved = busy > STARVED_SHARE or lag > STARVED_LAG_MS
         share = {n: (after[n] - before[n]) / elapsed for n in after if n in before and n != "sent_bytes"}
-        seen = _Seen(reports)
+        seen = Applied(reports)
         grown = sum(r["resident_kb"] - r["empty_kb"] for r in reports) / self.plan.directors
         out: dict[str, Any] = {
             "plan": {**asdict(self.plan), "shape": self.plan.shape.value},
@@ -453,11 +351,11 @@
             "full_director_share": round(share.get("full", 0.0), 6),
             "memory_kb_a_director": round(grown, 1),
             "full_director_kb": round(resident_kb(self.full.pid)) if self.full is not None else 0,
-            "largest_tables": _largest(reports),
-            "follower": _summed(reports, "follower"), "counts": _summed(reports, "counts"),
+            "largest_tables": largest(reports),
+            "follower": summed(reports, "follower"), "counts": summed(reports, "counts"),
         }  # fmt: skip
         if self.plan.shape is Shape.TREE:
-            out["nodes"] = [_short(node.status()) for node in self.nodes.values()]
+            out["nodes"] = [short_status(node.status()) for node in self.nodes.values()]
             out["bytes_per_s_a_director"] = round(
                 (after["sent_bytes"] - before["sent_bytes"]) / elapsed / self.plan.directors, 1
             )
@@ -488,87 +386,3 @@
             node.end()
         if self.coordinator is not None:
             self.coordinator.end()
-
-
-class _Seen:
-    """All directors' observations together."""
-
-    def __init__(self, reports: list[dict[str, Any]]) -> None:
-        def column(name: str, kind: str) -> Any:
-            return np.concatenate([np.frombuffer(r["observations"][name], dtype=kind) for r in reports])
-
-        self.kinds, self.directors = column("kinds", "i1"), column("directors", "i4")
-        self.published, self.delay = column("published_ns", "i8"), column("delays_ms", "f4")
-        self.since: dict[int, int] = {}
-        for report in reports:
-            self.since |= report["since_ns"]
-        started = np.zeros(max(self.since, default=0) + 1, dtype="i8")
-        for number, since in self.since.items():
-            started[number] = since
-        # What a restarted director loads of the time before its start is not late by that time.
-        self.while_up = self.published >= started[self.directors]
-
-    def delays(self, kind: Kind, below: int = 1 << 30) -> dict[str, float]:
-        """Quantiles of the time from publication to application, in milliseconds, at directors whose number
-        is below one given."""
-        chosen = self.delay[(self.kinds == kind.value) & (self.directors < below) & self.while_up]
-        if not len(chosen):
-            return {"count": 0}
-        told = np.percentile(chosen, [50, 99, 100])
-        names = ("p50", "p99", "last")
-        return {"count": len(chosen), **{n: round(float(v), 1) for n, v in zip(names, told, strict=True)}}
-
-    def lost(self, published: list[int]) -> int:
-        """Purges that a director never applied, of those published since its start, over all directors."""
-        purges = np.array(sorted(published))
-        mask = self.kinds == Kind.PURGE.value
-        directors, times = self.directors[mask], self.published[mask]
-        lost = 0
-        for number, since in self.since.items():
-            had = np.unique(times[(directors == number) & (times >= since)])
-            lost += int(len(purges) - int(np.searchsorted(purges, since)) - len(had))
-        return lost
-
-    def after_restart(self) -> dict[str, float]:
-        """From each restarted director's start to its first event, in milliseconds."""
-        latest = min(self.since.values()) + 5_000_000_000
-        chosen = [n for n, since in self.since.items() if since > latest]
-        first = []
-        for number in chosen:
-            mask = (self.directors == number) & (self.published + self.delay * 1e6 > self.since[number])
-            applied = self.published[mask] + self.delay[mask].astype("f8") * 1e6
-            if len(applied):
-                first.append((float(applied.min()) - self.since[number]) / 1e6)
-        if not first:
-            return {"count": 0}
-        return {"count": len(first), "p50": round(float(np.median(first)), 1), "last": round(max(first), 1)}
-
-
-def _short(status: dict[str, Any]) -> dict[str, Any]:
-    """A node's status without the list of its documents."""
-    return status | {"documents": len(status.get("documents", {}))}
-
-
-def _machine_busy() -> tuple[float, float]:
-    """Processor time in use and in all, in ticks of all cores."""
-    fields = [float(word) for word in Path("/proc/stat").read_text().splitlines()[0].split()[1:9]]
-    return sum(fields) - fields[3] - fields[4], sum(fields)
-
-
-def _summed(reports: list[dict[str, Any]], name: str) -> dict[str, int]:
-    out: dict[str, int] = {}
-    for key, value in _pairs(reports, name):
-        out[key] = out.get(key, 0) + value
-    return out
-
-
-def _largest(reports: list[dict[str, Any]]) -> dict[str, int]:
-    out: dict[str, int] = {}
-    for key, value in _pairs(reports, "largest_tables"):
-        out[key] = max(out.get(key, 0), value)
-    return out
-
-
-def _pairs(reports: list[dict[str, Any]], name: str) -> Iterator[tuple[str, int]]:
-    for report in reports:
-        yield from report[name].items()
--- /dev/null
+++ b/onyxwick/lab/scale/fleet_results.py
@@ -0,0 +1,107 @@
+"""What came of a fleet's run: delays, losses and sums out of the hosts' reports."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from onyxwick.lab.scale.hollow import Kind
+
+
+@dataclass
+class Published:
+    """When each event was published, by the monotonic clock."""
+
+    purges: list[int] = field(default_factory=list)
+    lists: list[int] = field(default_factory=list)
+    documents: list[int] = field(default_factory=list)
+
+
+class Applied:
+    """What all directors applied, together."""
+
+    def __init__(self, reports: list[dict[str, Any]]) -> None:
+        def column(name: str, kind: str) -> Any:
+            return np.concatenate([np.frombuffer(r["observations"][name], dtype=kind) for r in reports])
+
+        self.kinds, self.directors = column("kinds", "i1"), column("directors", "i4")
+        self.published, self.delay = column("published_ns", "i8"), column("delays_ms", "f4")
+        self.since: dict[int, int] = {}
+        for report in reports:
+            self.since |= report["since_ns"]
+        started = np.zeros(max(self.since, default=0) + 1, dtype="i8")
+        for number, since in self.since.items():
+            started[number] = since
+        # What a restarted director loads of the time before its start is not late by that time.
+        self.while_up = self.published >= started[self.directors]
+
+    def delays(self, kind: Kind, below: int = 1 << 30) -> dict[str, float]:
+        """Quantiles of the time from publication to application, in milliseconds, at directors whose number
+        is below one given."""
+        chosen = self.delay[(self.kinds == kind.value) & (self.directors < below) & self.while_up]
+        if not len(chosen):
+            return {"count": 0}
+        told = np.percentile(chosen, [50, 99, 100])
+        names = ("p50", "p99", "last")
+        return {"count": len(chosen), **{n: round(float(v), 1) for n, v in zip(names, told, strict=True)}}
+
+    def lost(self, published: list[int]) -> int:
+        """Purges that a director never applied, of those published since its start, over all directors."""
+        purges = np.array(sorted(published))
+        mask = self.kinds == Kind.PURGE.value
+        directors, times = self.directors[mask], self.published[mask]
+        lost = 0
+        for number, since in self.since.items():
+            had = np.unique(times[(directors == number) & (times >= since)])
+            lost += int(len(purges) - int(np.searchsorted(purges, since)) - len(had))
+        return lost
+
+    def after_restart(self) -> dict[str, float]:
+        """From each restarted director's start to its first event, in milliseconds."""
+        latest = min(self.since.values()) + 5_000_000_000
+        chosen = [n for n, since in self.since.items() if since > latest]
+        first = []
+        for number in chosen:
+            mask = (self.directors == number) & (self.published + self.delay * 1e6 > self.since[number])
+            applied = self.published[mask] + self.delay[mask].astype("f8") * 1e6
+            if len(applied):
+                first.append((float(applied.min()) - self.since[number]) / 1e6)
+        if not first:
+            return {"count": 0}
+        return {"count": len(first), "p50": round(float(np.median(first)), 1), "last": round(max(first), 1)}
+
+
+def short_status(status: dict[str, Any]) -> dict[str, Any]:
+    """A node's status without the list of its documents."""
+    return status | {"documents": len(status.get("documents", {}))}
+
+
+def machine_busy() -> tuple[float, float]:
+    """Processor time in use and in all, in ticks of all cores."""
+    fields = [float(word) for word in Path("/proc/stat").read_text().splitlines()[0].split()[1:9]]
+    return sum(fields) - fields[3] - fields[4], sum(fields)
+
+
+def summed(reports: list[dict[str, Any]], name: str) -> dict[str, int]:
+    """The sums of a group of counts over all hosts."""
+    out: dict[str, int] = {}
+    for key, value in _pairs(reports, name):
+        out[key] = out.get(key, 0) + value
+    return out
+
+
+def largest(reports: list[dict[str, Any]]) -> dict[str, int]:
+    """The largest table of each kind at any director."""
+    out: dict[str, int] = {}
+    for key, value in _pairs(reports, "largest_tables"):
+        out[key] = max(out.get(key, 0), value)
+    return out
+
+
+def _pairs(reports: list[dict[str, Any]], name: str) -> Iterator[tuple[str, int]]:
+    for report in reports:
+        yield from report[name].items()
--- a/tests/feed_world.py
+++ b/tests/feed_world.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from onyxwick.distribution import codec
 from onyxwick.distribution.codec import decode_follow
 from onyxwick.distribution.fanout import FanOut, FanOutLimits, Subscriber
 from onyxwick.distribution.follower import (
@@ -353,3 +354,48 @@
     def missing(self, node: Node, since_ms: int = 0) -> list[PurgeEvent]:
         had = {purge for _, purge in node.applied}
         return [purge for purge in self.published if purge not in had and purge.unix_ms >= since_ms]
+
+
+# ---- for tests of one state machine ----------------------------------------------------------------------
+
+HISTORY = 1_800_000_000
+NOW_MS = START // 1000
+
+
+class NoWait:
+    """A backoff that does not wait."""
+
+    def next_delay_us(self) -> int:
+        return 0
+
+    def reset(self) -> None:
+        pass
+
+
+def purge(number: int) -> Event:
+    payload = PurgeEvent(PurgeKey(f"{number:016x}", None), NOW_MS + number)
+    return codec.encode_event(Cursor(HISTORY, number), payload)
+
+
+def filled(numbers: int, log_bytes: int = 200_000) -> Replica:
+    replica = Replica(log_bytes)
+    replica.log.restart(Cursor(HISTORY, 0))
+    for number in range(1, numbers + 1):
+        replica.apply(purge(number), NOW_MS)
+    return replica
+
+
+def following(cursor: Cursor = Cursor(HISTORY, 5)) -> Follower:  # noqa: B008
+    follower = Follower(2, NoWait(), cursor)
+    assert follower.start(START) == (Connect(0),)
+    assert follower.connected(START) == (Send(b"follow %d\n" % cursor.packed),)
+    return follower
+
+
+def check_earlier_states_are_refused() -> None:
+    for cursor in (Cursor(HISTORY, 4), Cursor(HISTORY - 1, 900)):
+        follower = following()
+        (gone,) = follower.line(START, codec.encode_snapshot_begin(cursor, 0))
+        assert isinstance(gone, Disconnect)
+        assert "stepback" in gone.reason
+        assert follower.cursor == Cursor(HISTORY, 5)
