--- a/onyxwick/cli/lab.py
+++ b/onyxwick/cli/lab.py
@@ -185,14 +185,16 @@
     "--hard/--plain", default=False, help="Told late, restarts, uneven traffic, two start, full load."
 )
 @click.option("--at-once", default=4, show_default=True, help="Cases played beside each other.")
-def ramp(seeds: int, hard: bool, at_once: int) -> None:
+@click.option("--parent-of", type=click.IntRange(1, 5000), help="Only a cold parent under so many directors.")
+def ramp(seeds: int, hard: bool, at_once: int, parent_of: int | None) -> None:
     """What fleets send to a member that has just started, over what the rule allows, as JSON lines."""
     from concurrent.futures import ProcessPoolExecutor
 
-    from onyxwick.lab.ramp import cases, measure
+    from onyxwick.lab.ramp import Case, cases, measure
 
+    chosen = cases(hard) if parent_of is None else [Case(parent_of, parent=True)]
     with ProcessPoolExecutor(at_once) as pool:
-        for row in pool.map(measure, cases(hard), [range(1, seeds + 1)] * len(cases(hard))):
+        for row in pool.map(measure, chosen, [range(1, seeds + 1)] * len(chosen)):
             click.echo(json.dumps(row))
 
 
