Capacity: processor times as served requests too, counts' memory measured twice

Need: machines differ; a share of a core says little without what the same core serves. Change: each cell in cores stands beside the requests (an answer of 1 kB, a whole director, same run) that it equals.

--- a/onyxwick/lab/scale/capacity.py
+++ b/onyxwick/lab/scale/capacity.py
@@ -318,8 +318,10 @@
 
 
 def roles(size: Size, got: Inputs, factor: float = 2.0) -> str:
-    """All cells for a size and for a multiple of it, as a Markdown table."""
+    """All cells for a size and for a multiple of it, as a Markdown table. Processor time is told as requests
+    with an answer of 1 kB, too, that a whole director serves in it."""
     grown = size.times(factor)
+    served = got.at("director_request_us", 1) / 1e6  # cores that one request a second takes
     lines = [
         f"| role | what | now | {factor:g} times | budget | headroom | formula | mark | mechanism |",
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
@@ -327,8 +329,9 @@
     for cell in CELLS:
         now, then = cell.compute(size, got), cell.compute(grown, got)
         budget = "-" if cell.budget is None else _shown(cell.budget)
+        ratio = f" = {now / served:.0f} requests/s" if cell.unit == "cores" else ""
         lines.append(
-            f"| {cell.role} | {cell.kind} | {_shown(now)} {cell.unit} | {_shown(then)} | {budget} |"
+            f"| {cell.role} | {cell.kind} | {_shown(now)} {cell.unit}{ratio} | {_shown(then)} | {budget} |"
             f" {_headroom(cell, now)} | {cell.formula} | {cell.mark.value} | {cell.mechanism} |"
         )
     return "\n".join(lines)
--- a/onyxwick/lab/scale/sweeps.py
+++ b/onyxwick/lab/scale/sweeps.py
@@ -301,7 +301,7 @@
     Sweep("known_ms", "events at the start", "ms", (250, 500, 1000, 2000, 4000), known_ms, 3),
     Sweep("popularity_ms_per_s", "objects counted", "ms a second", COUNTED, popularity_ms_per_s),
     Sweep("popularity_turn_ms", "objects counted", "ms", COUNTED, popularity_turn_ms),
-    Sweep("counted_kb", "objects counted", "kB", COUNTED, counted_kb, 1),
+    Sweep("counted_kb", "objects counted", "kB", COUNTED, counted_kb, 2),
     Sweep("snapshot_ms", "binding purges", "ms", BINDING, snapshot_ms),
     Sweep("snapshot_kb", "binding purges", "kB", BINDING, snapshot_kb, 2),
     Sweep("publish_us", "binding purges stored", "us a purge", (100, 300, 900, 2_700, 8_100), publish_us, 3),
