A publisher whose disk fails announces nothing more and ends; standard names in the new modules

Need: an error of the store in Root._flush left the loop's handler with it: the events taken off the queue were lost while heartbeats and freshness went on, so that followers took a dead publisher for a sound one. Found by reading.

--- a/onyxwick/cli/distribution.py
+++ b/onyxwick/cli/distribution.py
@@ -63,5 +63,5 @@
         raise Unusable(str(error)) from None
     loads = Counter(rows[leaf][0] for leaf in leaves)
     seconds = Counter(rows[leaf][1] for leaf in leaves)
-    shown = {"root": relays, "first": dict(loads), "second": dict(seconds)}
-    click.echo(json.dumps({**shown, "parents": {leaf: rows[leaf] for leaf in leaves}} if each else shown))
+    summary = {"root": relays, "first": dict(loads), "second": dict(seconds)}
+    click.echo(json.dumps({**summary, "parents": {leaf: rows[leaf] for leaf in leaves}} if each else summary))
--- a/onyxwick/cli/scale.py
+++ b/onyxwick/cli/scale.py
@@ -9,6 +9,7 @@
 
 from onyxwick.cli import Unusable
 
+FAULTS = ("none", "kill", "pause", "publisher", "restart", "cut")
 path_option = click.Path(path_type=Path)
 
 
@@ -57,7 +58,7 @@
 )
 @click.option(
     "--fault",
-    type=click.Choice(["none", "kill", "pause", "restart", "cut"]),
+    type=click.Choice(FAULTS),
     default="none",
     show_default=True,
     help="At a third of the time.",
@@ -78,12 +79,12 @@
     from onyxwick.lab.scale.fleet_plan import FleetPlan
     from onyxwick.lab.scale.hollow import Shape
 
-    told = FleetPlan(
+    plan = FleetPlan(
         shape=Shape(shape), directors=directors, regions=regions, hosts=hosts, caches=caches, seconds=seconds,
         purges_per_s=purges, changes=changes, fault=fault, cut_s=cut_s, seed=seed, slot=slot,
     )  # fmt: skip
     try:
-        fleet_of = Fleet(told, lambda text: click.echo(text, err=True))
+        fleet_of = Fleet(plan, lambda text: click.echo(text, err=True))
     except ValueError as error:
         raise Unusable(str(error)) from None
     report = uvloop.run(fleet_of.run())
@@ -117,8 +118,8 @@
     from onyxwick.lab.scale.size import Size, read
 
     size = Size() if size_file is None else read(size_file)
-    told = {"directors": directors, "caches": caches, "requests_per_s": requests, "purges_per_s": purges}
-    size = replace(size, **{name: value for name, value in told.items() if value is not None})  # type: ignore[arg-type]
+    drivers = {"directors": directors, "caches": caches, "requests_per_s": requests, "purges_per_s": purges}
+    size = replace(size, **{name: value for name, value in drivers.items() if value is not None})  # type: ignore[arg-type]
     try:
         click.echo(page(size.times(times), read_inputs(folder)))
     except (OSError, KeyError) as error:
--- a/onyxwick/distribution/fanout.py
+++ b/onyxwick/distribution/fanout.py
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True, eq=False)
 class Subscriber:
-    """One connection. `unsent_bytes` is what its socket has not taken yet, as last told."""
+    """One connection. `unsent_bytes` is what its socket has not taken yet, as last reported."""
 
     since: int
     state: SubscriberState = SubscriberState.CONNECTED
@@ -173,7 +173,7 @@
         return b"".join(parts)
 
     def fresh(self, message: Freshness) -> None:
-        """The publisher was heard from; passed on with the next heartbeat."""
+        """The publisher was reached; passed on with the next heartbeat."""
         if message.cursor <= self.replica.cursor:
             self.freshness = encode_freshness(message.cursor, message.published_ms)
 
--- a/onyxwick/distribution/follower.py
+++ b/onyxwick/distribution/follower.py
@@ -128,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refresh:
-    """The publisher has been heard from, through however many nodes."""
+    """The publisher was reached, through however many nodes."""
 
     freshness: Freshness
 
@@ -137,7 +137,7 @@
 
 
 class Follower:
-    """One follower; `restarts` says that a coordinator whose numbers go back has begun anew and is to be read
+    """One follower; `restarts` says that a coordinator whose numbers go back has restarted and is to be read
     from its first event (a plain coordinator has no histories to tell the two apart)."""
 
     def __init__(
@@ -166,7 +166,7 @@
         self._load: _Load | None = None
 
     def age_us(self, now: int) -> int | None:
-        """How old the view may be; None before the publisher was first heard from."""
+        """How old the view may be; None before the first sign of the publisher."""
         return None if self.fresh_at is None else max(0, now - self.fresh_at)
 
     # ---- inputs ---------------------------------------------------------------------------------------
@@ -290,7 +290,7 @@
         return self._review_parent(now)
 
     def _behind(self, now: int) -> Sequence[Action]:
-        """A parent announces less than we have: a relay that lags, or a plain coordinator begun anew."""
+        """A parent announces less than we have: a relay that lags, or a plain coordinator after a restart."""
         self.counts["behind"] += 1
         if not self.restarts:
             return ()
--- a/onyxwick/lab/scale/bounds.py
+++ b/onyxwick/lab/scale/bounds.py
@@ -14,7 +14,7 @@
 
 
 def lines_per_event(report: SmallReport) -> list[str]:
-    """Each director is told each event once: deliveries grow with directors x events and nothing else."""
+    """Each director receives each event once: deliveries grow with directors x events and nothing else."""
     plan = report.plan
     events = plan.events + (plan.events + 9) // 10
     most = plan.directors * (events + SLACK_LINES)
--- a/onyxwick/lab/scale/capacity.py
+++ b/onyxwick/lab/scale/capacity.py
@@ -268,13 +268,13 @@
 
 def read_inputs(folder: Path) -> Inputs:
     """The measured figures in a folder: `slopes.json`, and `fleet-SHAPE-FAULT.json` of each fleet."""
-    told = json.loads((folder / "slopes.json").read_text())
-    fits = {name: fit_of(row) for name, row in told["sweeps"].items()}
+    measured = json.loads((folder / "slopes.json").read_text())
+    fits = {name: fit_of(row) for name, row in measured["sweeps"].items()}
     fleets = {
         path.stem.removeprefix("fleet-"): json.loads(path.read_text()) for path in folder.glob("fleet-*.json")
     }
-    points = {name: [tuple(point) for point in row["points"]] for name, row in told["sweeps"].items()}
-    return Inputs(fits, points, fleets, str(told["revision"]))
+    points = {name: [tuple(point) for point in row["points"]] for name, row in measured["sweeps"].items()}
+    return Inputs(fits, points, fleets, str(measured["revision"]))
 
 
 def _shown(value: float) -> str:
--- a/onyxwick/lab/scale/fleet.py
+++ b/onyxwick/lab/scale/fleet.py
@@ -53,25 +53,25 @@
 
 
 class Fleet:
-    """One run; `progress` is told what goes on."""
+    """One run; `progress` is called with a line for each step."""
 
-    def __init__(self, told: FleetPlan, progress: Callable[[str], None]) -> None:
-        check(told)
-        self.plan, self.progress = told, progress
-        self.rng = random.Random(told.seed)
+    def __init__(self, fleet_plan: FleetPlan, progress: Callable[[str], None]) -> None:
+        check(fleet_plan)
+        self.plan, self.progress = fleet_plan, progress
+        self.rng = random.Random(fleet_plan.seed)
         self.folder = Path(tempfile.mkdtemp(prefix="onyxwick-scale-"))
-        self.base = f"127.{150 + told.slot}"
+        self.base = f"127.{150 + fleet_plan.slot}"
         self.feed: Address = (f"{self.base}.0.1", 7070)
         self.context = multiprocessing.get_context("spawn")
         self.nodes: dict[str, NodeProcess] = {}
-        self.regions = [f"g{n}" for n in range(told.regions)]
+        self.regions = [f"g{n}" for n in range(fleet_plan.regions)]
         self.ways = {region: Way(region, "core") for region in self.regions}
         self.links: list[LinkRelay] = []
         self.hosts: list[Child] = []
         self.coordinator: Child | None = None
         self.full: subprocess.Popen[bytes] | None = None
         self.index = 0
-        self.witnesses = min(told.regions, told.directors)
+        self.witnesses = min(fleet_plan.regions, fleet_plan.directors)
         self.published = Published()
         self.lags: list[float] = []
         self.oldest_view_s = self.caught_up_s = 0.0  # of a cut: the oldest view at its end, the last one back
@@ -152,12 +152,12 @@
     async def _start_full(self) -> None:
         """One whole director under the same events."""
         listen = (f"{self.base}.3.1", 5050)
-        told = ujson.loads(CONFIG.read_text()) | {
+        configuration = ujson.loads(CONFIG.read_text()) | {
             "listen": written(listen),
             "coordinator": written(self.feed),
             "known": {"index": 0, "updates": []},
         }
-        (self.folder / "director.json").write_text(json.dumps(told))
+        (self.folder / "director.json").write_text(json.dumps(configuration))
         service = self.folder / "service.hcl"
         if self.plan.shape is Shape.TREE:
             parents = ", ".join(f'"{written(self.nodes[f"relay-{n}"].listen)}"' for n in (1, 2))
@@ -226,21 +226,23 @@
 
     async def _fault(self, seconds: float) -> None:
         await asyncio.sleep(seconds / 3)
-        kind, relay = self.plan.fault, self.nodes.get("relay-1")
+        kind = self.plan.fault
+        node = self.nodes.get("root" if kind == "publisher" else "relay-1")
         self.progress(f"fault: {kind}")
         if kind == "restart":
             chosen = {n for n in range(self.plan.directors) if n % 5 == 0}
             await asyncio.gather(*(host.ask("restart", chosen) for host in self.hosts))
         elif kind == "cut":
             await self._cut()
-        elif kind in ("kill", "pause") and relay is not None and relay.process is not None:
-            relay.signal(signal.SIGKILL if kind == "kill" else signal.SIGSTOP)
+        elif kind == "pause" and node is not None:
+            node.signal(signal.SIGSTOP)
             await asyncio.sleep(self.plan.cut_s)
-            if kind == "pause":
-                relay.signal(signal.SIGCONT)
-            else:
-                relay.process.wait()
-                relay.start()
+            node.signal(signal.SIGCONT)
+        elif kind in ("kill", "publisher") and node is not None and node.process is not None:
+            node.signal(signal.SIGKILL)
+            await asyncio.sleep(self.plan.cut_s)
+            node.process.wait()
+            node.start()
         self.progress("fault is over")
 
     async def _cut(self) -> None:
--- a/onyxwick/lab/scale/fleet_plan.py
+++ b/onyxwick/lab/scale/fleet_plan.py
@@ -36,12 +36,12 @@
     seed: int = 1
 
 
-def check(told: FleetPlan) -> None:
+def check(plan: FleetPlan) -> None:
     """ValueError where a plan would take more than half of the machine's memory, or 200 processes."""
-    processes = told.hosts + told.regions * RELAYS_OF_A_REGION + OTHER_PROCESSES
+    processes = plan.hosts + plan.regions * RELAYS_OF_A_REGION + OTHER_PROCESSES
     if processes > MOST_PROCESSES:
         raise ValueError(f"{processes} processes, {MOST_PROCESSES} at most")
-    needed = told.directors * DIRECTOR_KB + processes * PROCESS_KB
+    needed = plan.directors * DIRECTOR_KB + processes * PROCESS_KB
     total = int(Path("/proc/meminfo").read_text().split()[1])
     if needed > total // 2:
         raise ValueError(f"some {needed // 1024} MB needed, half of the machine's {total // 1024} MB at most")
--- a/onyxwick/lab/scale/fleet_results.py
+++ b/onyxwick/lab/scale/fleet_results.py
@@ -45,9 +45,12 @@
         chosen = self.delay[(self.kinds == kind.value) & (self.directors < below) & self.while_up]
         if not len(chosen):
             return {"count": 0}
-        told = np.percentile(chosen, [50, 99, 100])
+        quantiles = np.percentile(chosen, [50, 99, 100])
         names = ("p50", "p99", "last")
-        return {"count": len(chosen), **{n: round(float(v), 1) for n, v in zip(names, told, strict=True)}}
+        return {
+            "count": len(chosen),
+            **{n: round(float(v), 1) for n, v in zip(names, quantiles, strict=True)},
+        }
 
     def lost(self, published: list[int]) -> int:
         """Purges that a director never applied, of those published since its start, over all directors."""
--- a/onyxwick/lab/scale/hollow.py
+++ b/onyxwick/lab/scale/hollow.py
@@ -78,7 +78,7 @@
 
 
 class ObservedCore(Core):
-    """A director's core that records what it is told; purges carry their publication as object's name."""
+    """A director's core that records what it receives; purges carry their publication as object's name."""
 
     observations: Observations
     number = 0
@@ -128,9 +128,9 @@
         self._begin()
 
     def _begin(self) -> None:
-        told = replace(settings(), routers=1000, routers_in_zone=12, index=self.number)
+        own = replace(settings(), routers=1000, routers_in_zone=12, index=self.number)
         seed = random.Random(self.number).getrandbits(60)
-        self.core = ObservedCore(told, seed, Instant(), Members(), self.counters)
+        self.core = ObservedCore(own, seed, Instant(), Members(), self.counters)
         self.core.observations, self.core.number = self.observed, self.number
         if self.shape is Shape.SINGLE:
             self.coordinator = Coordinator(self.core, self.counters, seed, directors=1000)
@@ -209,7 +209,7 @@
 
 
 class Host:
-    """One process full of hollow directors, told what to do through a pipe."""
+    """One process full of hollow directors, commanded through a pipe."""
 
     def __init__(self, spec: HostSpec, pipe: Pipe) -> None:
         self.spec, self.pipe = spec, pipe
@@ -222,7 +222,7 @@
         self.done = asyncio.Event()
 
     async def run(self) -> None:
-        """Serve until told to stop."""
+        """Serve until the command to stop."""
         loop = asyncio.get_running_loop()
         loop.add_reader(self.pipe.fileno(), self._command)
         os.set_blocking(self.pipe.fileno(), True)  # the loop has it otherwise, and a report is long
@@ -302,7 +302,7 @@
 
 
 def coordinator_main(address: Address, pipe: Pipe) -> None:
-    """The entry of a process with the lab's coordinator, which is told lines through a pipe."""
+    """The entry of a process with the lab's coordinator, which is given lines through a pipe."""
     from onyxwick.lab.machines import Coordinator as Stand
 
     async def main() -> None:
--- a/onyxwick/lab/scale/processes.py
+++ b/onyxwick/lab/scale/processes.py
@@ -99,21 +99,21 @@
         self.parser.buffer.feed(data)
         for words in self.parser.messages():
             if words[0] == b"REQ":
-                told = f"digest={'0' * 16},dated={time.time_ns() // 1_000_000},note=HIT"
-                self.transport.write(resp.command(words[1], b"data", told.encode(), self.body))
+                fields = f"digest={'0' * 16},dated={time.time_ns() // 1_000_000},note=HIT"
+                self.transport.write(resp.command(words[1], b"data", fields.encode(), self.body))
 
 
 def _configuration(caches: int, listen: Address, feed: Address, folder: Path) -> Path:
-    told = ujson.loads(CONFIG.read_text())
+    configuration = ujson.loads(CONFIG.read_text())
     listed = [row | {"addr": f"{CACHE_HOST}:5050"} for row in rows(caches)]
     event = {"index": 1, "endpoints": {"version": 1, "full": True, "servers": listed}}
-    told |= {
+    configuration |= {
         "listen": written(listen), "coordinator": written(feed),
         "known": {"index": 1, "updates": [event]},
         "limits": {"cores": 1, "memory_mb": 512, "sockets": 4096},
     }  # fmt: skip
     path = folder / "config.json"
-    path.write_text(json.dumps(told))
+    path.write_text(json.dumps(configuration))
     return path
 
 
--- a/onyxwick/lab/scale/size.py
+++ b/onyxwick/lab/scale/size.py
@@ -136,13 +136,13 @@
     if row is None:
         raise ConfigError(f"{path.name}: block 'size' is missing")
     size = Size()
-    told: dict[str, Any] = {}
+    drivers: dict[str, Any] = {}
     for each in fields(Size):
         default = getattr(size, each.name)
         if isinstance(default, int):
-            told[each.name] = row.whole(each.name, 1, 10**9, default)
+            drivers[each.name] = row.whole(each.name, 1, 10**9, default)
         else:
-            told[each.name] = row.number(each.name, 0, 1e18, default)
+            drivers[each.name] = row.number(each.name, 0, 1e18, default)
     row.done()
     top.done()
-    return replace(size, **told)
+    return replace(size, **drivers)
--- a/onyxwick/lab/scale/slopes.py
+++ b/onyxwick/lab/scale/slopes.py
@@ -72,7 +72,7 @@
 def revision() -> str:
     """The commit that is measured, with a mark where the tree differs from it."""
     try:
-        told = subprocess.run(
+        described = subprocess.run(
             ["git", "describe", "--always", "--dirty=+"],
             cwd=Path(__file__).parent,
             capture_output=True,
@@ -81,7 +81,7 @@
         )
     except (OSError, subprocess.CalledProcessError):
         return "unknown"
-    return told.stdout.strip()
+    return described.stdout.strip()
 
 
 def table(result: dict[str, Any]) -> str:
--- a/onyxwick/lab/scale/small.py
+++ b/onyxwick/lab/scale/small.py
@@ -58,15 +58,15 @@
 
     def __init__(
         self,
-        told: SmallPlan,
+        plan: SmallPlan,
         director: Callable[[int, Shape, list[Address], Observations], HollowDirector] = HollowDirector,
     ) -> None:
-        self.plan = told
-        base = f"127.{210 + told.slot}.0"
+        self.plan = plan
+        base = f"127.{210 + plan.slot}.0"
         self.feed = Coordinator((f"{base}.1", 7070), unix_us)
         root_at = (f"{base}.2", 7400)
         self.root = Root(node_config("root", Role.PUBLISHER, root_at, self.feed.address))
-        addresses = [(f"{base}.{n + 3}", 7400) for n in range(told.relays)]
+        addresses = [(f"{base}.{n + 3}", 7400) for n in range(plan.relays)]
         self.relays = [
             Relay(node_config(f"relay-{n}", Role.RELAY, address, root_at))
             for n, address in enumerate(addresses)
@@ -76,10 +76,10 @@
             director(
                 n,
                 Shape.TREE,
-                [addresses[n % told.relays], addresses[(n + 1) % told.relays]],
+                [addresses[n % plan.relays], addresses[(n + 1) % plan.relays]],
                 self.observations,
             )
-            for n in range(told.directors)
+            for n in range(plan.directors)
         ]
         self.index = 0
 
@@ -164,10 +164,10 @@
         await self.feed.mute()
 
 
-def small(told: SmallPlan) -> SmallReport:
+def small(plan: SmallPlan) -> SmallReport:
     """One small run in an event loop of its own."""
 
     async def main() -> SmallReport:
-        return await SmallTree(told).run()
+        return await SmallTree(plan).run()
 
     return asyncio.run(main())
--- a/onyxwick/lab/scale/sweeps.py
+++ b/onyxwick/lab/scale/sweeps.py
@@ -70,7 +70,7 @@
 
 
 class EventsOnly(Core):
-    """A core that is told events outside an event loop: timers are driven by hand."""
+    """A core that is given events outside an event loop: timers are driven by hand."""
 
     def handle(self, *events: i.Event) -> None:
         """Hand events to the module; it is given its timers at the next event."""
--- a/onyxwick/net/director_feed.py
+++ b/onyxwick/net/director_feed.py
@@ -44,7 +44,7 @@
         self._assembler = Assembler()
 
     def deliver(self, event: Event, from_snapshot: bool) -> None:
-        """One event; one that cannot be used is counted and told, and the feed goes on."""
+        """One event; one that cannot be used is counted and logged, and the feed goes on."""
         self.purges.expire(self.core.now() // 1000)
         try:
             self._apply(event.payload)
@@ -79,8 +79,8 @@
             self._purge(payload)
         elif isinstance(payload, CacheListChange):
             rows = [row.fields for row in payload.rows]
-            told = {"servers": rows, "full": payload.full, "version": payload.version}
-            self.core.list_changed(*read_members(told))
+            changed = {"servers": rows, "full": payload.full, "version": payload.version}
+            self.core.list_changed(*read_members(changed))
         elif isinstance(payload, DocumentPart):
             self._document_part(payload)
         else:
--- a/onyxwick/net/distribution_node.py
+++ b/onyxwick/net/distribution_node.py
@@ -34,6 +34,7 @@
 from onyxwick.net.fanout_server import FanOutServer
 from onyxwick.net.subscription import ReconnectDelays, Subscription
 from onyxwick.store.engine import Engine
+from onyxwick.store.errors import StoreError
 from onyxwick.store.files import Disk
 
 log = logs.get()
@@ -69,7 +70,7 @@
         self.server.published()
 
     def refresh(self, freshness: Freshness) -> None:
-        """Pass on that the publisher was heard from."""
+        """Pass on that the publisher was reached."""
         self.fanout.fresh(freshness)
 
     async def run(self) -> None:
@@ -112,6 +113,7 @@
         # What was read upstream while documents waited to be sent is read again after a restart.
         self._saved_upstream = upstream
         self._flushing: asyncio.TimerHandle | asyncio.Handle | None = None
+        self._failure: asyncio.Future[None]
         self.subscription: Subscription | None = None
         if config.parents:
             follower = Follower(
@@ -130,7 +132,7 @@
     # ---- what comes in --------------------------------------------------------------------------------
 
     def deliver(self, event: Event, from_snapshot: bool) -> None:
-        """An event of the coordinator; refused ones are counted and told."""
+        """An event of the coordinator; refused ones are counted and logged."""
         try:
             if isinstance(event.payload, DocumentPart):
                 self._document_part(event.payload)
@@ -188,8 +190,8 @@
         if not self.publisher.bulk and self.subscription is not None:
             self._saved_upstream = self.subscription.follower.cursor
         if events:
-            if self.durable is not None:
-                self.durable.save(events, self._saved_upstream, self.replica.state, now)
+            if not self._save(events, now):
+                return
             for event in events:
                 self.replica.apply(event, now // 1000)
             self.server.published()
@@ -197,10 +199,29 @@
         if wait_us is not None:
             self._schedule(max(0.001, wait_us / 1e6))
 
+    def _save(self, events: list[Event], now: int) -> bool:
+        """Make events durable before they are announced; False: the disk failed, and this process ends.
+
+        What was not saved is read anew from the coordinator by the next process: its cursor was not saved.
+        """
+        if self.durable is None:
+            return True
+        try:
+            self.durable.save(events, self._saved_upstream, self.replica.state, now)
+        except StoreError as error:
+            if not self._failure.done():
+                self._failure.set_exception(error)
+            return False
+        return True
+
+    async def _until_failure(self) -> None:
+        await self._failure
+
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled; StoreError where the disk fails."""
+        self._failure = asyncio.get_running_loop().create_future()
         self.publish_files(self.config.documents)
-        work = [self.server.run(), self._keep_fresh()]
+        work = [self.server.run(), self._keep_fresh(), self._until_failure()]
         if self.subscription is not None:
             work.append(self.subscription.run())
         await asyncio.gather(*work)
--- a/onyxwick/net/subscription.py
+++ b/onyxwick/net/subscription.py
@@ -42,7 +42,7 @@
         ...
 
     def refresh(self, freshness: Freshness) -> None:
-        """The publisher was heard from."""
+        """The publisher was reached."""
         ...
 
 
--- a/tests/feed_world.py
+++ b/tests/feed_world.py
@@ -176,16 +176,16 @@
 
     # ---- the clock ----------------------------------------------------------------------------------------
 
-    def at(self, delay_us: int, deed: Callable[[], None]) -> None:
+    def at(self, delay_us: int, callback: Callable[[], None]) -> None:
         self.count += 1
-        heapq.heappush(self.due, (self.now + delay_us, self.count, deed))
+        heapq.heappush(self.due, (self.now + delay_us, self.count, callback))
 
     def run(self, seconds: float) -> None:
         end = self.now + int(seconds * S)
         while self.due and self.due[0][0] <= end:
-            at, _, deed = heapq.heappop(self.due)
+            at, _, callback = heapq.heappop(self.due)
             self.now = max(self.now, at)
-            deed()
+            callback()
         self.now = end
 
     def delay(self) -> int:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -22,10 +22,10 @@
 
 
 def run(
-    told: SmallPlan, prepare: Callable[[SmallTree], None] | None = None, stuck: bool = False
+    plan: SmallPlan, prepare: Callable[[SmallTree], None] | None = None, stuck: bool = False
 ) -> SmallReport:
     async def main() -> SmallReport:
-        tree = SmallTree(told)
+        tree = SmallTree(plan)
         if prepare is not None:
             prepare(tree)
         return await tree.run(stuck)
@@ -124,7 +124,7 @@
         tree.change = change  # type: ignore[method-assign]
 
     plans = SmallPlan(events=20, caches=FEWER, slot=4), SmallPlan(events=20, caches=MORE, slot=5)
-    fewer, more = (run(told, planted) for told in plans)
+    fewer, more = (run(plan, planted) for plan in plans)
     assert bounds.lines_per_event(more)
     assert bounds.free_of_caches(fewer, more)
 
@@ -140,8 +140,8 @@
 def test_a_table_that_grows_with_objects_is_seen() -> None:
     def planted(objects: int, slot: int) -> SmallReport:
         async def main() -> SmallReport:
-            told = SmallPlan(directors=2, events=5, objects=objects, slot=slot)
-            return await SmallTree(told, RemembersObjects).run()
+            plan = SmallPlan(directors=2, events=5, objects=objects, slot=slot)
+            return await SmallTree(plan, RemembersObjects).run()
 
         return asyncio.run(main())
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -5,9 +5,13 @@
 import asyncio
 import itertools
 from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
+from onyxwick.config.distribution import Role
+from onyxwick.core.engine import unix_us
 from onyxwick.counters import Counters
 from onyxwick.distribution import codec
 from onyxwick.distribution.admission import Admission, AdmissionLimits
@@ -44,8 +48,11 @@
 from onyxwick.distribution.publisher import Publisher, PublisherLimits, new_history
 from onyxwick.distribution.replica import Replica, Snapshot
 from onyxwick.distribution.tree import TreeError, TreeLimits, plan
+from onyxwick.lab.scale.small import node_config
+from onyxwick.net.distribution_node import Root
 from onyxwick.net.subscription import Subscription
 from onyxwick.store.engine import Engine
+from onyxwick.store.errors import StoreError
 from tests.faulty_files import FaultyFiles
 from tests.feed_world import (
     HISTORY,
@@ -500,3 +507,25 @@
     for place in (0, 1):
         loads = [sum(rows[leaf][place] == relay for leaf in leaves) for relay in relays]
         assert max(loads) <= 1.1 * 1000 / 12 + 1
+
+
+def test_a_publisher_whose_disk_fails_announces_nothing_and_ends(tmp_path: Path) -> None:
+    async def main() -> Root:
+        listen = ("127.79.9.1", 7400)
+        root = Root(replace(node_config("root", Role.PUBLISHER, listen), store=tmp_path / "store"))
+        assert root.durable is not None
+        files = FaultyFiles()
+        root.durable.engine.files = files
+        files.fail.add("write")
+        running = asyncio.create_task(root.run())
+        await asyncio.sleep(0)
+        payload = PurgeEvent(PurgeKey("a", None), unix_us() // 1000)
+        root.deliver(codec.encode_event(Cursor(0, 1), payload), from_snapshot=False)
+        with pytest.raises(StoreError):
+            async with asyncio.timeout(5):
+                await running
+        return root
+
+    root = asyncio.run(main())
+    assert root.replica.cursor.number == 0
+    assert not root.replica.log.lines
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -112,8 +112,8 @@
 
     async def director(self, number: int, *parents: Address) -> None:
         listen, admin = (f"{BASE}.2.{number}", 5050), (f"127.79.3.{number}", 8053)
-        told = json.loads(CONFIG.read_text()) | {"listen": written(listen), "coordinator": written(FEED)}
-        (self.folder / f"d{number}.json").write_text(json.dumps(told))
+        answers = json.loads(CONFIG.read_text()) | {"listen": written(listen), "coordinator": written(FEED)}
+        (self.folder / f"d{number}.json").write_text(json.dumps(answers))
         (self.folder / "token").write_text(TOKEN)
         listed = ", ".join(f'"{written(parent)}"' for parent in parents)
         service = self.folder / f"d{number}.hcl"
@@ -159,10 +159,10 @@
         """Wait until each director lists so many members."""
         end = time.monotonic() + PATIENCE_S
         while True:
-            told = [await self.api(admin, "/health") for admin in self.admins]
-            if all(row["members"] == count for row in told):
+            answers = [await self.api(admin, "/health") for admin in self.admins]
+            if all(row["members"] == count for row in answers):
                 return
-            assert time.monotonic() < end, f"members: {told}"
+            assert time.monotonic() < end, f"members: {answers}"
             await asyncio.sleep(0.05)
 
     async def all_had(self, what: str) -> None:
@@ -262,9 +262,9 @@
     await tree.all_had("a follower that reads nothing delays nobody")
     tree.nodes["relay-2"].send_signal(signal.SIGUSR1)
     await asyncio.sleep(0.3)
-    told = tree.status("relay-2")
-    assert told["log_bytes"] <= 4_194_304
-    assert told["behind"] >= 1, "the one that reads nothing"
+    answers = tree.status("relay-2")
+    assert answers["log_bytes"] <= 4_194_304
+    assert answers["behind"] >= 1, "the one that reads nothing"
     stuck.close()
 
 
@@ -272,10 +272,10 @@
     async def quota_is(value: float) -> None:
         end = time.monotonic() + PATIENCE_S
         while True:
-            told = [await tree.api(admin, "/tenants/acme") for admin in tree.admins]
-            if all(row["quota_per_s"] == value for row in told):
+            answers = [await tree.api(admin, "/tenants/acme") for admin in tree.admins]
+            if all(row["quota_per_s"] == value for row in answers):
                 return
-            assert time.monotonic() < end, str(told)
+            assert time.monotonic() < end, str(answers)
             await asyncio.sleep(0.05)
 
     await quota_is(20)
