Failing tests: purges, cold starts and timers while the wall clock is stepped

Observed: with the wall clock an hour ahead a purge's age comes out as an hour, so requests go out with no bound; a cache that has just started counts as warm; with it an hour back Core.now stands and no timer fires. Core.now reads time.time_ns (core/engine.py unix_us).

--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,94 @@
+"""The wall clock is stepped while a director runs: ages, starts and timers are spans of real time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from onyxwick import interface as i
+from onyxwick.net.coordinator import Coordinator
+from tests.ground import Ground, ask, played
+
+HOUR_US = 3_600_000_000
+
+
+class WallClock:
+    """The system's wall clock, with a step that a test sets."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.step_us, self._real = 0, time.time_ns
+        monkeypatch.setattr(time, "time_ns", lambda: self._real() + self.step_us * 1000)
+
+    def true_us(self) -> int:
+        """The time as the senders of stamps have it."""
+        return self._real() // 1000
+
+
+@pytest.fixture
+def wall(monkeypatch: pytest.MonkeyPatch) -> WallClock:
+    return WallClock(monkeypatch)
+
+
+def _tell(feed: Coordinator, event: dict[str, object]) -> None:
+    feed.line(json.dumps({"index": feed.last + 1, **event}).encode())
+
+
+def _purge(feed: Coordinator, stamp_us: int) -> None:
+    _tell(feed, {"evict": {"ref": "7f3a9c21e0b4d655", "unix_ms": stamp_us // 1000}})
+
+
+def _start(feed: Coordinator, started_us: int) -> None:
+    row = {"id": "c0", "addr": "127.0.0.1:1", "zone": "edge-1", "kind": "box", "state": "SERVING"}
+    servers = [{**row, "weight": 6, "started_ms": started_us // 1000}]
+    _tell(feed, {"endpoints": {"version": 2, "full": False, "servers": servers}})
+
+
+def test_a_purge_has_its_age_while_the_wall_clock_is_stepped(wall: WallClock) -> None:
+    async def play(ground: Ground) -> None:
+        feed = Coordinator(ground.core, ground.counters)
+        feed.line(b"0")
+        for step_us in (HOUR_US, -HOUR_US, 5_000_000, 0):
+            wall.step_us = step_us
+            _purge(feed, wall.true_us() - 100_000)
+            purge = ground.script.events[-1]
+            assert isinstance(purge, i.Purged) and purge.age_us < 1_000_000, (step_us, purge)
+            before = ground.core.now()
+            await asyncio.sleep(0.02)
+            assert ground.core.now() - before >= 15_000, step_us  # what was told grows older meanwhile
+
+    played(play)
+
+
+def test_a_cache_that_starts_while_the_wall_clock_is_stepped_is_cold(wall: WallClock) -> None:
+    async def play(ground: Ground) -> None:
+        feed = Coordinator(ground.core, ground.counters)
+        feed.line(b"0")
+        for step_us in (HOUR_US, -HOUR_US, 5_000_000, 0):
+            wall.step_us = step_us
+            _start(feed, wall.true_us() - 1_000_000)
+            change = ground.script.events[-1]
+            assert isinstance(change, i.MembersChanged)
+            age_us = ground.core.now() - change.members[0].since_us
+            assert 0 <= age_us < 2_000_000, (step_us, age_us)
+
+    played(play)
+
+
+def test_timers_and_deadlines_run_on_while_the_wall_clock_is_an_hour_back(wall: WallClock) -> None:
+    async def play(ground: Ground) -> None:
+        ground.cache("c0")
+        ground.script.arrived = lambda request: [
+            i.SetTimer(ground.core.now() + 50_000, "hedge"),
+            *ask(request, "c0"),
+        ]
+        lifecycle = ground.start(timeout_us=300_000)
+        wall.step_us = -HOUR_US
+        begun = time.monotonic()
+        await ground.until(lambda: i.TimerFired("hedge") in ground.script.events)
+        assert time.monotonic() - begun < 0.2
+        assert lifecycle.request.id in ground.core.lifecycles
+
+    played(play)
