One steady clock for all that decides; stamps of the feed are bounded where they enter

Cause: Core.now read the wall clock and never went back, so a step ahead aged every purge and start by it and a step back stood all timers still (core/engine.py unix_us, Coordinator.apply, read_members). Change: core/clock.py has SteadyClock (the wall clock at the start plus monotonic time) and FeedStamps, which turns stamps of a feed into it, never too early. Whether a purge came after a decision is told by a count taken when the module decides: one received between a hedge's decision and its attempt passed before.

--- a/onyxwick/cells/offline.py
+++ b/onyxwick/cells/offline.py
@@ -24,13 +24,15 @@
     if config is None:
         return [], (None,), ""
     from onyxwick.config import relay
+    from onyxwick.core.clock import FeedStamps, steady_us
     from onyxwick.net.coordinator import read_members
 
     told = relay.load({"RELAY_CONFIG": str(config)})
     listed: dict[str, i.Member] = {}
     for event in told.known.get("updates") or ():
         if "endpoints" in event:
-            listed |= {m.address: m for m in read_members(event["endpoints"])[0].members}
+            change, _ = read_members(event["endpoints"], FeedStamps(), steady_us())
+            listed |= {m.address: m for m in change.members}
     kinds = (told.settings.parent_kind, told.settings.origin_kind)
     return [m for m in listed.values() if m.state is not i.State.GONE], kinds, told.settings.zone
 
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +11,7 @@
 
 from onyxwick import interface as i
 from onyxwick import logs
+from onyxwick.core.clock import steady_us
 from onyxwick.core.members import Members
 from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
 from onyxwick.counters import Counters
@@ -27,11 +27,6 @@
 MAX_OPEN_REQUESTS = 2048  # requests at once, where nothing else is said
 
 
-def unix_us() -> int:
-    """The system's Unix clock in microseconds."""
-    return time.time_ns() // 1000
-
-
 @dataclass(slots=True)
 class AttemptFinished:
     """An attempt has ended: at which member, the attempt's number, how, and after how long (us)."""
@@ -50,7 +45,15 @@
     overdue: bool = False
 
 
-Mail = i.Action | AttemptFinished | ClientDeparted
+@dataclass(slots=True)
+class Decided:
+    """An attempt that the module has ordered, after so many purges had been received."""
+
+    action: i.Attempt | i.Fetch
+    purges_received: int
+
+
+Mail = i.Action | Decided | AttemptFinished | ClientDeparted
 
 
 class Mailbox:
@@ -83,7 +86,7 @@
     request: Request
     mailbox: Mailbox = field(default_factory=Mailbox)
     attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
-    # When each attempt was ordered, in Unix us; 0: it is proved that it never ran.
+    # When each attempt was ordered, in steady us; 0: it is proved that it never ran.
     ordered_at: list[int] = field(default_factory=list)
     client_departed: bool = False  # its client has left
     answered: bool = False  # it has its final answer
@@ -104,7 +107,7 @@
         transport: Transport,
         members: Members,
         counters: Counters,
-        clock: Callable[[], int] = unix_us,
+        clock: Callable[[], int] = steady_us,
         most_open: int = MAX_OPEN_REQUESTS,
         decide: Callable[[i.Settings, int, int], i.Decider] = Router,
     ) -> None:
@@ -127,7 +130,7 @@
         self.handle()
 
     def now(self) -> int:
-        """The Unix clock in microseconds, which for the module never goes back."""
+        """Steady microseconds on the Unix scale (core/clock.py); never goes back."""
         self.latest = max(self.latest, self.clock())
         return self.latest
 
@@ -154,7 +157,11 @@
             elif isinstance(action, i.Subscribe | i.AskList):
                 pass  # the coordinator's events come unasked
             elif lifecycle := self.lifecycles.get(action.request):
-                lifecycle.mailbox.put(action)
+                # Decided now, however late it is carried out: a purge may be received in between.
+                ordered = isinstance(action, i.Attempt | i.Fetch)
+                lifecycle.mailbox.put(
+                    Decided(action, self.members.purges_received) if ordered else action  # type: ignore[arg-type]
+                )
 
     def _timer(self, at: int, token: str) -> None:
         # A timer never reaches the module early: it would find nothing due and not ask again.
@@ -308,7 +315,7 @@
             self.handle(self._arrival(request, deadline))
             while True:
                 match mail := await lifecycle.mailbox.get():
-                    case i.Attempt() | i.Fetch():
+                    case Decided():
                         if self._must_last(lifecycle):
                             await self._intend(lifecycle)
                         self._start(lifecycle, mail)
@@ -351,12 +358,12 @@
         """After the final answer: every attempt still out ends, and the module is told how."""
         while any(lifecycle.attempts) or lifecycle.mailbox.mail:
             match mail := await lifecycle.mailbox.get():
-                case i.Attempt() | i.Fetch():
+                case Decided(action):
                     lifecycle.attempts.append(None)
                     lifecycle.ordered_at.append(0)
                     number = len(lifecycle.attempts) - 1
                     self._report(
-                        lifecycle, AttemptFinished(mail.member, number, Outcome(i.Status.NOT_SENT), 0)
+                        lifecycle, AttemptFinished(action.member, number, Outcome(i.Status.NOT_SENT), 0)
                     )
                 case i.Cancel(_, number):
                     self._cancel(lifecycle, number)
@@ -381,9 +388,9 @@
 
     # ---- attempts ---------------------------------------------------------------------------------------
 
-    def _start(self, lifecycle: RequestLifecycle, action: i.Attempt | i.Fetch) -> None:
+    def _start(self, lifecycle: RequestLifecycle, decided: Decided) -> None:
         number, begun = len(lifecycle.attempts), self.now()
-        order = self._order(lifecycle, action, number)
+        order = self._order(lifecycle, decided, number)
         lifecycle.ordered_at.append(begun)
         task = asyncio.get_running_loop().create_task((lifecycle.transport or self.transport).run(order))
         lifecycle.attempts.append(task)
@@ -412,9 +419,9 @@
         margin = 2 * self.settings.tick_us
         return kind.repeat is i.Repeat.KEYED and self.now() - min(ran) < kind.window_us - margin
 
-    def _order(self, lifecycle: RequestLifecycle, action: i.Attempt | i.Fetch, number: int) -> Order:
-        request = lifecycle.request
-        decided, left = self.now(), request.arrived_us + request.timeout_us - self.now()
+    def _order(self, lifecycle: RequestLifecycle, mail: Decided, number: int) -> Order:
+        request, action, decided = lifecycle.request, mail.action, mail.purges_received
+        left = request.arrived_us + request.timeout_us - self.now()
         timeout = min(left, action.timeout_us) if action.timeout_us else left
         alone = request.class_name in self.once
         if isinstance(action, i.Attempt):
--- a/onyxwick/core/members.py
+++ b/onyxwick/core/members.py
@@ -18,7 +18,9 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.loaded = False
         self.watchers: list[Callable[[str], None]] = []  # called for each member that left or restarted
-        self.purge_times: dict[tuple[int | None, str | None], int] = {}  # when each was received
+        # When each was received, and as which: times alone don't tell the order within a microsecond.
+        self.purge_times: dict[tuple[int | None, str | None], tuple[int, int]] = {}
+        self.purges_received = 0
         # Excluded by the operators: nothing is sent to them from the moment this is set, from any thread.
         self.excluded: frozenset[str] = frozenset()
 
@@ -51,9 +53,10 @@
     def purged(self, group: int, name: str | None, now: int) -> None:
         """A purge of one object or of a group was received: what was decided before it may not be sent."""
         key = (group, None) if name is None else (None, name)
+        self.purges_received += 1
         self.purge_times.pop(key, None)  # to the end: the oldest stand first
-        self.purge_times[key] = now
-        while self.purge_times[oldest := next(iter(self.purge_times))] <= now - PURGES_KEPT_US:
+        self.purge_times[key] = now, self.purges_received
+        while self.purge_times[oldest := next(iter(self.purge_times))][0] <= now - PURGES_KEPT_US:
             del self.purge_times[oldest]
 
     def ready(self, member: str) -> bool:
@@ -62,11 +65,10 @@
         return listed is not None and listed.state is i.State.READY and member not in self.excluded
 
     def is_still_valid(self, member: str, source: str | None, request: Request, decided: int) -> bool:
-        """May what was decided then be sent now? A drain or a purge may have been received in between."""
+        """May be sent now what was decided as `decided` purges had been received? A drain or a purge may have
+        been received in between."""
         if not self.ready(member) or (source is not None and not self.ready(source)):
             return False
-        received = (
-            self.purge_times.get((request.group, None), 0),
-            self.purge_times.get((None, request.object), 0),
-        )
-        return max(received) <= decided
+        of_group = self.purge_times.get((request.group, None))
+        of_object = self.purge_times.get((None, request.object))
+        return all(purge is None or purge[1] <= decided for purge in (of_group, of_object))
--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -63,7 +63,7 @@
     alone: bool = False  # must not run twice: it is to share its fate with no other attempt
     is_still_valid: Callable[[], bool] = field(default=lambda: True, compare=False)
     """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
-    sent_us: int = 0  # Unix us at which its first byte went out, once the transport knows; 0: not sent
+    sent_us: int = 0  # steady us at which its first byte went out, once the transport knows; 0: not sent
 
 
 @dataclass(slots=True)
--- a/onyxwick/lab/scale/hollow.py
+++ b/onyxwick/lab/scale/hollow.py
@@ -26,7 +26,7 @@
 from onyxwick import logs
 from onyxwick.config.address import Address
 from onyxwick.core import Core, Order, Outcome, Request
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import steady_us
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
 from onyxwick.distribution.follower import Follower
@@ -136,7 +136,7 @@
             self.coordinator = Coordinator(self.core, self.counters, seed, directors=1000)
             self.coordinator.move(self.parents[0])
             return
-        follower = Follower(len(self.parents), ReconnectDelays(seed, unix_us()))
+        follower = Follower(len(self.parents), ReconnectDelays(seed, steady_us()))
         documents = {f"doc-{n}": self.core.document for n in range(DOCUMENTS)}
         self.feed = DirectorFeed(self.core, self.counters, documents)
         self.subscription = Subscription(follower, self.parents, self.feed, self.counters)
@@ -177,7 +177,7 @@
         """Seconds since the publisher was last heard from; None where the feed does not tell."""
         if self.subscription is None:
             return None
-        age = self.subscription.follower.age_us(unix_us())
+        age = self.subscription.follower.age_us(steady_us())
         return None if age is None else age / 1e6
 
     def tables(self) -> dict[str, int]:
@@ -306,7 +306,7 @@
     from onyxwick.lab.machines import Coordinator as Stand
 
     async def main() -> None:
-        stand, done = Stand(address, unix_us), asyncio.Event()
+        stand, done = Stand(address, steady_us), asyncio.Event()
         await stand.listen()
 
         def command() -> None:
--- a/onyxwick/lab/scale/small.py
+++ b/onyxwick/lab/scale/small.py
@@ -11,7 +11,7 @@
 
 from onyxwick.config.address import Address
 from onyxwick.config.distribution import NodeConfig, Role
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import wall_us
 from onyxwick.distribution.admission import AdmissionLimits
 from onyxwick.lab.machines import Coordinator
 from onyxwick.lab.scale.hollow import HollowDirector, Observations, Shape
@@ -63,7 +63,7 @@
     ) -> None:
         self.plan = plan
         base = f"127.{210 + plan.slot}.0"
-        self.feed = Coordinator((f"{base}.1", 7070), unix_us)
+        self.feed = Coordinator((f"{base}.1", 7070), wall_us)
         root_at = (f"{base}.2", 7400)
         self.root = Root(node_config("root", Role.PUBLISHER, root_at, self.feed.address))
         addresses = [(f"{base}.{n + 3}", 7400) for n in range(plan.relays)]
@@ -90,7 +90,7 @@
 
     def purge(self) -> None:
         """Publish a purge that carries its time."""
-        self.tell({"evict": {"ref": f"{time.monotonic_ns():016x}", "unix_ms": unix_us() // 1000}})
+        self.tell({"evict": {"ref": f"{time.monotonic_ns():016x}", "unix_ms": wall_us() // 1000}})
 
     def change(self, number: int) -> None:
         """Publish a change of one row."""
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -21,7 +21,7 @@
 from onyxwick.config.address import written
 from onyxwick.config.relay import Config
 from onyxwick.core import Core
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import steady_us
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
@@ -249,7 +249,7 @@
                 f"the operators' door cannot listen on {written(address)}: {error.strerror}"
             ) from None
         bridge.loop = loop
-        door = Door(bound, address, bridge, bridge.orders, bridge.known, bridge.lasting, unix_us)
+        door = Door(bound, address, bridge, bridge.orders, bridge.known, bridge.lasting, steady_us)
         door.start()
         side.append(self._keep("publish", lambda: self._publish(bridge)))
         self.door_counters = door.counters
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -12,6 +12,7 @@
 
 from onyxwick import interface as i
 from onyxwick import logs
+from onyxwick.core.clock import steady_us
 from onyxwick.core.members import Members
 from onyxwick.core.model import Order, Outcome
 from onyxwick.counters import Counters
@@ -323,7 +324,7 @@
         finally:
             limit.cancel()
             if call.parcel.begun_at:
-                order.sent_us = time.time_ns() // 1000 - int((time.monotonic() - call.parcel.begun_at) * 1e6)
+                order.sent_us = steady_us() - int((time.monotonic() - call.parcel.begun_at) * 1e6)
 
     def _link(self, order: Order, address: tuple[str, int]) -> Link:
         """An unused connection, a new one, or the least used."""
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -13,6 +13,7 @@
 from onyxwick import logs
 from onyxwick.config.address import read_address
 from onyxwick.core import Core
+from onyxwick.core.clock import FeedStamps
 from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer
@@ -28,7 +29,13 @@
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
 
-def read_members(told: dict[str, Any]) -> tuple[i.MembersChanged, dict[str, tuple[str, int]]]:
+def read_members(
+    told: dict[str, Any], stamps: FeedStamps, now: int
+) -> tuple[i.MembersChanged, dict[str, tuple[str, int]]]:
+    """A change of the list, or all of it, with the addresses of all rows that are not gone. `now`: steady us.
+
+    KeyError, TypeError or ValueError where a row cannot be read.
+    """
     members, addresses = [], {}
     for row in told["servers"]:
         state = STATES[row["state"]]
@@ -40,12 +47,16 @@
                 cell=int(row.get("cell") or 0),
                 state=state,
                 weight=float(row.get("weight") or 0),
-                since_us=int(row.get("started_ms") or 0) * 1000,
+                since_us=stamps.start(str(row["id"]), int(row.get("started_ms") or 0) * 1000, now),
             )
         )
-        if state is not i.State.GONE:
+        if state is i.State.GONE:
+            stamps.forget(str(row["id"]))
+        else:
             addresses[str(row["id"])] = read_address(row["addr"])
     kind = i.ListKind.FULL if told.get("full") else i.ListKind.CHANGE
+    if kind is i.ListKind.FULL:
+        stamps.keep_only(set(addresses))
     return i.MembersChanged(kind, tuple(members), int(told.get("version") or 0)), addresses
 
 
@@ -65,6 +76,7 @@
         self.announced = 0  # the last number that a line named alone
         self.address = ("", 0)
         self.limit: asyncio.Timeout | None = None  # how long the connection under way may be silent
+        self.stamps = FeedStamps()
         self.beat: Callable[[], None] | None = None  # called with each line that the feed brings
 
     def known(self, known: dict[str, Any]) -> None:
@@ -81,12 +93,13 @@
         self.last = index
         try:
             if "endpoints" in event:
-                self.core.list_changed(*read_members(event["endpoints"]))
+                self.core.list_changed(*read_members(event["endpoints"], self.stamps, self.core.now()))
             if "evict" in event:
                 evict = event["evict"]
                 name = None if evict.get("ref") is None else str(evict["ref"])
                 group = -1 if evict.get("shard") is None else int(evict["shard"])
-                self.core.purged(group, name, int(evict["unix_ms"]) * 1000)
+                made = self.stamps.purge(int(evict["unix_ms"]) * 1000, self.core.now())
+                self.core.purged(group, name, made)
         except (KeyError, ValueError, TypeError, AttributeError) as error:
             self.bad(f"event {index}: {error!r}")
         self.core.feed_observed(index)
@@ -114,6 +127,8 @@
         if self.last < self.announced:
             raise OSError(f"event {self.announced} never came")
         self.announced = number
+        if self.last >= number:
+            self.stamps.caught_up(self.core.now())
 
     def move(self, address: tuple[str, int]) -> None:
         """The feed is at another address from now on; its numbers go on from the last one had."""
--- a/onyxwick/net/director_feed.py
+++ b/onyxwick/net/director_feed.py
@@ -6,6 +6,7 @@
 
 from onyxwick import logs
 from onyxwick.core import Core
+from onyxwick.core.clock import FeedStamps
 from onyxwick.counters import Counters
 from onyxwick.distribution.documents import Assembler, DocumentError
 from onyxwick.distribution.model import (
@@ -38,7 +39,7 @@
     ) -> None:
         self.core, self.counters = core, counters
         self.documents = dict(documents or {})
-        self.purges = PurgeTable()
+        self.purges, self.stamps = PurgeTable(), FeedStamps()
         self.versions: dict[str, tuple[int, str]] = {}  # of each document seen whole: version and digest
         self.cursor = Cursor(0, 0)
         self._assembler = Assembler()
@@ -68,7 +69,9 @@
         self._reached(snapshot.cursor)
 
     def refresh(self, freshness: Freshness) -> None:
-        """Only the follower keeps the view's age."""
+        """The publisher was reached: where nothing is outstanding, what comes next happened after this."""
+        if freshness.cursor <= self.cursor:
+            self.stamps.caught_up(self.core.now())
 
     def _reached(self, cursor: Cursor) -> None:
         self.cursor = cursor
@@ -80,7 +83,7 @@
         elif isinstance(payload, CacheListChange):
             rows = [row.fields for row in payload.rows]
             changed = {"servers": rows, "full": payload.full, "version": payload.version}
-            self.core.list_changed(*read_members(changed))
+            self.core.list_changed(*read_members(changed, self.stamps, self.core.now()))
         elif isinstance(payload, DocumentPart):
             self._document_part(payload)
         else:
@@ -89,7 +92,8 @@
     def _purge(self, purge: PurgeEvent) -> None:
         if self.purges.add(purge):
             group = -1 if purge.key.shard is None else purge.key.shard
-            self.core.purged(group, purge.key.ref, purge.unix_ms * 1000)
+            made = self.stamps.purge(purge.unix_ms * 1000, self.core.now())
+            self.core.purged(group, purge.key.ref, made)
 
     def _document_part(self, part: DocumentPart) -> None:
         try:
--- a/onyxwick/net/distribution_node.py
+++ b/onyxwick/net/distribution_node.py
@@ -12,7 +12,7 @@
 from onyxwick import logs
 from onyxwick.config.distribution import DocumentFile, NodeConfig, Role
 from onyxwick.config.errors import ConfigError
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import steady_us, wall_us
 from onyxwick.counters import Counters
 from onyxwick.distribution.documents import Assembler, DocumentError
 from onyxwick.distribution.durable import DurableFeed
@@ -53,7 +53,7 @@
         self.fanout = FanOut(self.replica, _fanout_limits(config))
         self.server = FanOutServer(self.fanout, config.listen, self.counters)
         follower = Follower(
-            len(config.parents), ReconnectDelays(config.seed, unix_us()), limits=FollowerLimits()
+            len(config.parents), ReconnectDelays(config.seed, steady_us()), limits=FollowerLimits()
         )
         self.subscription = Subscription(follower, config.parents, self, self.counters)
 
@@ -61,7 +61,7 @@
         """Take in one event and pass it on. Purges of a snapshot are passed on when it is whole."""
         if from_snapshot:
             return
-        self.replica.apply(event, unix_us() // 1000)
+        self.replica.apply(event, steady_us() // 1000)
         self.server.published()
 
     def install(self, snapshot: Snapshot) -> None:
@@ -86,7 +86,7 @@
 
     def status(self) -> dict[str, Any]:
         """Figures for SIGUSR1 and the exit."""
-        now, follower = unix_us(), self.subscription.follower
+        now, follower = steady_us(), self.subscription.follower
         age = follower.age_us(now)
         return {
             **_status(self.config, self.replica, self.fanout, self.server, self.counters),
@@ -108,7 +108,7 @@
         self.durable: DurableFeed | None = None
         upstream = self._open_store()
         limits = PublisherLimits(bulk_bytes_per_s=config.bulk_bytes_per_s)
-        self.publisher = Publisher(self.replica, unix_us(), limits)
+        self.publisher = Publisher(self.replica, steady_us(), limits)
         self._assembler = Assembler()
         # What was read upstream while documents waited to be sent is read again after a restart.
         self._saved_upstream = upstream
@@ -117,7 +117,7 @@
         self.subscription: Subscription | None = None
         if config.parents:
             follower = Follower(
-                1, ReconnectDelays(config.seed, unix_us()), upstream, PLAIN_COORDINATOR, restarts=True
+                1, ReconnectDelays(config.seed, steady_us()), upstream, PLAIN_COORDINATOR, restarts=True
             )
             self.subscription = Subscription(follower, config.parents, self, self.counters)
 
@@ -139,7 +139,7 @@
             elif isinstance(event.payload, UnknownPayload):
                 raise PublishRefusedError(event.payload.detail)
             else:
-                self.publisher.submit(event.payload, unix_us() // 1000)
+                self.publisher.submit(event.payload, steady_us() // 1000)
         except (PublishRefusedError, DocumentError) as error:
             self.counters.add("refused.event")
             log.error("event not published", index=event.cursor.packed, reason=str(error))
@@ -185,7 +185,7 @@
 
     def _flush(self) -> None:
         self._flushing = None
-        now = unix_us()
+        now = steady_us()
         events = self.publisher.due(now)
         if not self.publisher.bulk and self.subscription is not None:
             self._saved_upstream = self.subscription.follower.cursor
@@ -229,7 +229,7 @@
     async def _keep_fresh(self) -> None:
         while True:
             if self._reaches_its_source():
-                self.fanout.fresh(Freshness(self.replica.cursor, unix_us() // 1000))
+                self.fanout.fresh(Freshness(self.replica.cursor, wall_us() // 1000))
             await asyncio.sleep(FRESHNESS_S)
 
     def _reaches_its_source(self) -> bool:
--- a/onyxwick/net/fanout_server.py
+++ b/onyxwick/net/fanout_server.py
@@ -8,7 +8,7 @@
 
 from onyxwick import logs
 from onyxwick.config.address import Address
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import steady_us
 from onyxwick.counters import Counters
 from onyxwick.distribution.codec import decode_follow
 from onyxwick.distribution.fanout import FanOut, Subscriber
@@ -102,7 +102,7 @@
     """Listens for subscribers and keeps them supplied from the node's replica."""
 
     def __init__(
-        self, fanout: FanOut, address: Address, counters: Counters, clock: Callable[[], int] = unix_us
+        self, fanout: FanOut, address: Address, counters: Counters, clock: Callable[[], int] = steady_us
     ) -> None:
         self.fanout, self.address, self.counters, self.clock = fanout, address, counters, clock
         self.connections: set[_SubscriberConnection] = set()
--- a/onyxwick/net/subscription.py
+++ b/onyxwick/net/subscription.py
@@ -8,7 +8,7 @@
 
 from onyxwick import logs
 from onyxwick.config.address import Address, written
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import steady_us
 from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
 from onyxwick.counters import Counters
 from onyxwick.distribution.codec import HEAD_BYTES, stub_of
@@ -106,7 +106,7 @@
         parents: Sequence[Address],
         sink: Sink,
         counters: Counters,
-        clock: Callable[[], int] = unix_us,
+        clock: Callable[[], int] = steady_us,
     ) -> None:
         self.follower, self.parents, self.sink, self.counters = follower, list(parents), sink, counters
         self.clock = clock
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -14,7 +14,7 @@
 
 from onyxwick import interface as i
 from onyxwick.core import Answer, Core, Request, RequestLifecycle
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import steady_us
 from onyxwick.core.members import Members
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi
@@ -34,6 +34,7 @@
         self.events: list[i.Event] = []
         self.arrived: Callable[[str], list[i.Action]] = lambda request: []
         self.ended: Callable[[str, i.Status], list[i.Action]] = lambda request, status: []
+        self.timer: Callable[[], list[i.Action]] = lambda: []
 
     def handle(self, now: int, events: list[i.Event]) -> list[i.Action]:
         out = list[i.Action]()
@@ -44,6 +45,8 @@
                     out += self.arrived(request)
                 case i.AttemptEnded(request=request, status=status):
                     out += self.ended(request, status)
+                case i.TimerFired():
+                    out += self.timer()
                 case _:
                     pass
         return out
@@ -106,7 +109,7 @@
     def request(self, kind: str = "chunk", **more: object) -> Request:
         self.asked += 1
         fields = {"id": f"{self.asked:016x}", "class_name": kind, "object": "7f3a9c21e0b4d655", "part": 0}
-        told = {"group": 17, "arrived_us": unix_us(), "timeout_us": 9_000_000}
+        told = {"group": 17, "arrived_us": steady_us(), "timeout_us": 9_000_000}
         return Request(**{**fields, **told, **more})  # type: ignore[arg-type]
 
     def start(self, kind: str = "chunk", **more: object) -> RequestLifecycle:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -134,7 +134,7 @@
 
     async def ask(self, name: str, number: int) -> None:
         await super().ask(name, number)
-        self.core.members.purge_times[(None, name)] = self.core.now()
+        self.core.members.purge_times[(None, name)] = self.core.now(), 0
 
 
 def test_a_table_that_grows_with_objects_is_seen() -> None:
@@ -185,6 +185,6 @@
         assert members.purge_times is held, "not copied: the cost would grow with the rate"
         reference = {k: at for k, at in reference.items() if at > now - PURGES_KEPT_US}
         reference[(None, name)] = now
-        assert members.purge_times == reference
+        assert {key: at for key, (at, _) in members.purge_times.items()} == reference
     members.purged(17, None, now + PURGES_KEPT_US)
     assert list(members.purge_times) == [(17, None)]
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -9,6 +9,7 @@
 import pytest
 
 from onyxwick import interface as i
+from onyxwick.core.clock import FeedStamps
 from onyxwick.net.coordinator import Coordinator
 from tests.ground import Ground, ask, played
 
@@ -92,3 +93,53 @@
         assert lifecycle.request.id in ground.core.lifecycles
 
     played(play)
+
+
+def test_a_purge_received_between_a_decision_and_its_attempt_holds_for_it() -> None:
+    async def play(ground: Ground) -> None:
+        ground.cache("c0")
+        lifecycle = ground.start()
+        await ground.until(lambda: ground.script.events)
+        ground.script.ended = lambda request, status: []
+        ground.script.timer = lambda: ask(lifecycle.request.id, "c0")
+        ground.core.handle(i.TimerFired("hedge"))
+        ground.core.purged(17, None, ground.core.now())
+        await ground.until(lambda: ground.script.ends() == [i.Status.NOT_SENT])
+
+    played(play)
+
+
+# ---- stamps of a feed whose clock is another one -------------------------------------------------------------
+
+S_US = 1_000_000
+
+
+def test_stamps_of_a_feed_that_is_an_hour_behind_are_taken_for_later_never_for_earlier() -> None:
+    stamps, now = FeedStamps(), 10 * HOUR_US
+    stamps.caught_up(now)
+    made = now + S_US  # true times; the feed writes an hour less
+    assert stamps.purge(made - HOUR_US, made + 200_000) == made + 200_000
+    later = made + 5 * S_US
+    stamps.caught_up(later - S_US)
+    assert later <= stamps.purge(later - HOUR_US, later + 300_000) <= later + 300_000
+    assert later <= stamps.start("c0", later - HOUR_US, later + 300_000) <= later + 300_000
+
+
+def test_a_start_an_hour_old_by_its_stamp_that_a_live_feed_tells_for_the_first_time_is_a_start_now() -> None:
+    stamps, now = FeedStamps(), 10 * HOUR_US
+    assert stamps.start("known", now - HOUR_US, now) == now - HOUR_US  # before the feed is live: as it says
+    stamps.caught_up(now)
+    assert stamps.start("c0", now - HOUR_US, now + S_US) == now + S_US
+    assert stamps.start("c0", now - HOUR_US, now + 9 * S_US) == now + S_US  # the same start, told again
+    assert stamps.start("known", now - HOUR_US, now + 9 * S_US) == now - HOUR_US
+    stamps.forget("known")
+    assert stamps.start("known", now - HOUR_US, now + 9 * S_US) == now + 9 * S_US
+
+
+def test_nothing_lies_in_the_future_and_what_a_live_feed_tells_is_younger_than_its_last_heartbeat() -> None:
+    stamps, now = FeedStamps(), 10 * HOUR_US
+    assert stamps.purge(now + HOUR_US, now) == now
+    assert stamps.start("c0", now + HOUR_US, now) == now
+    stamps.caught_up(now)
+    # The feed's clock was ahead for a moment, and is right again: no purge is taken for an hour old.
+    assert stamps.purge(now - HOUR_US, now + S_US) >= now
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -11,7 +11,7 @@
 import pytest
 
 from onyxwick.config.distribution import Role
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import wall_us
 from onyxwick.counters import Counters
 from onyxwick.distribution import codec
 from onyxwick.distribution.admission import Admission, AdmissionLimits
@@ -519,7 +519,7 @@
         files.fail.add("write")
         running = asyncio.create_task(root.run())
         await asyncio.sleep(0)
-        payload = PurgeEvent(PurgeKey("a", None), unix_us() // 1000)
+        payload = PurgeEvent(PurgeKey("a", None), wall_us() // 1000)
         root.deliver(codec.encode_event(Cursor(0, 1), payload), from_snapshot=False)
         with pytest.raises(StoreError):
             async with asyncio.timeout(5):
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -18,7 +18,7 @@
 import uvloop
 
 from onyxwick.config.address import Address, written
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import wall_us
 from onyxwick.counters import Counters
 from onyxwick.distribution.follower import Follower
 from onyxwick.distribution.model import Event, Freshness, PurgeEvent
@@ -64,7 +64,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self.feed = Coordinator(FEED, unix_us)
+        self.feed = Coordinator(FEED, wall_us)
         self.index = 0
         self.nodes: dict[str, subprocess.Popen[bytes]] = {}
         self.directors: list[Program] = []
@@ -80,7 +80,7 @@
 
     def purge(self) -> None:
         self.sent.append(f"{len(self.sent):016x}")
-        self.tell({"evict": {"ref": self.sent[-1], "unix_ms": unix_us() // 1000}})
+        self.tell({"evict": {"ref": self.sent[-1], "unix_ms": wall_us() // 1000}})
 
     async def purges(self, count: int) -> None:
         for _ in range(count):
@@ -143,7 +143,7 @@
 
     def follow(self, *parents: Address) -> Recorder:
         recorder = Recorder()
-        follower = Follower(len(parents), ReconnectDelays(len(self.recorders), unix_us()))
+        follower = Follower(len(parents), ReconnectDelays(len(self.recorders), wall_us()))
         subscription = Subscription(follower, parents, recorder, Counters())
         self.recorders.append(recorder)
         self.tasks.append(asyncio.get_running_loop().create_task(subscription.run()))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,7 +17,7 @@
 from onyxwick import interface as i
 from onyxwick.config import relay
 from onyxwick.core import Answer, Verdict
-from onyxwick.core.engine import unix_us
+from onyxwick.core.clock import steady_us
 from onyxwick.core.model import Order, Outcome
 from onyxwick.net import caches, coordinator, fastcgi, front, resp, room
 from onyxwick.net.coordinator import Coordinator
@@ -699,7 +699,7 @@
     async def play(ground: Ground) -> None:
         sock = ground.cache("c0")
         _on_arrival(ground, "c0")
-        lifecycle = ground.start(arrived_us=unix_us())
+        lifecycle = ground.start(arrived_us=steady_us())
         conn = await ground.accepted(sock)
         await ground.read(conn, lifecycle.request.id.encode())
         (link,) = ground.caches.links["c0"]
