The feed counts bytes as progress, accept's errors pass, a cache is told the time left at its send

Causes: net/coordinator.py _follow_once set the silence limit anew by whole lines alone, and Coordinator.last moved before an event was applied, so an error in applying lost it; front.accept_rest took the first error for the end of the backlog, and took 1,024 where 1,025 may wait; ECONNABORTED paused all accepting for 50 ms each time; request_bytes was made when an attempt was queued. Change: any bytes are progress, one line has 10 s, doubled for the next connection where that was too little, and connects and first bytes likewise (core/pacing.py Patience); an event is numbered as had once it is applied, three failures or four gaps give it up; only an empty backlog ends accept_rest (1 s at most); net/errors.py tells errors of one connection from want of descriptors; a parcel is rendered right before its first byte, also after a cut batch. Each event of the feed leaves the loop a turn, so two long lists do not hold it together.

--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -51,7 +52,8 @@
 
 @dataclass(slots=True)
 class Order:
-    """One attempt as the module ordered it. A `source` of None: nothing is filled."""
+    """One attempt as the module ordered it. A `source` of None: nothing is filled.
+    `timeout_us` runs from `ordered_at`."""
 
     request: Request
     member: str
@@ -63,8 +65,13 @@
     alone: bool = False  # must not run twice: it is to share its fate with no other attempt
     is_still_valid: Callable[[], bool] = field(default=lambda: True, compare=False)
     """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
+    ordered_at: float = field(default_factory=time.monotonic, compare=False)
     sent_us: int = 0  # steady us at which its first byte went out, once the transport knows; 0: not sent
 
+    def left_us(self) -> int:
+        """Of its time-out, at this moment."""
+        return self.timeout_us - int((time.monotonic() - self.ordered_at) * 1e6)
+
 
 @dataclass(slots=True)
 class Outcome:
--- a/onyxwick/core/pacing.py
+++ b/onyxwick/core/pacing.py
@@ -55,3 +55,36 @@
     def reset(self) -> None:
         """A connection has worked: the next delay is short again."""
         self.attempts = 0
+
+
+class Patience:
+    """A time limit that an attempt which ran into it doubles for the next one, up to a bound, and then begins
+    anew: an attempt that takes longer than the usual limit gets through, and none waits long for ever.
+
+    Used as a context: a TimeoutError extends it, an end without one resets it. Seconds.
+    """
+
+    def __init__(self, first_s: float, most_doublings: int) -> None:
+        self.first_s, self.most_doublings, self.doublings = first_s, most_doublings, 0
+
+    @property
+    def limit_s(self) -> float:
+        """The limit of the next attempt."""
+        return self.first_s * float(1 << self.doublings)
+
+    def extend(self) -> None:
+        """An attempt ran into the limit."""
+        self.doublings = (self.doublings + 1) % (self.most_doublings + 1)
+
+    def reset(self) -> None:
+        """An attempt got through."""
+        self.doublings = 0
+
+    def __enter__(self) -> None:
+        return None
+
+    def __exit__(self, kind: type[BaseException] | None, *_: object) -> None:
+        if kind is None:
+            self.reset()
+        elif issubclass(kind, TimeoutError):
+            self.extend()
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -31,6 +31,7 @@
 SPOILED = 256  # given-up ids on one connection after which it takes no new ones
 IDLE_S = 10.0  # under the time after which the other side closes: no send crosses its close
 STALLED_S = 3.0  # a write that moves nothing for so long means that the machine is gone
+COMMAND_BYTES = 256  # of a request without its body, about
 WAKE_MOST = 32_768  # bytes waited for at once, well under what a socket takes in unread
 DETAILS = {
     "HIT": i.Detail.HIT,
@@ -66,12 +67,13 @@
 
 
 def request_bytes(order: Order) -> bytes:
+    """The command that asks for an attempt, with the time that is left at this moment."""
     request = order.request
     out = {
         "c": request.class_name,
         "k": request.object,
         "p": str(request.part),
-        "w": str(max(1, order.timeout_us // 1000)),
+        "w": str(max(1, order.left_us() // 1000)),
     }
     if order.source is not None:
         out["parent"] = order.source
@@ -169,7 +171,13 @@
         request_id, now = order.request.id.encode(), time.monotonic()
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         call = Call(request_id, Parcel(b""), future, now, order.request.held_tag, order.alone)
-        call.parcel = Parcel(request_bytes(order), order.is_still_valid, lambda: self._dropped(call))
+        call.parcel = Parcel(
+            b"",
+            lambda: order.left_us() > 0 and order.is_still_valid(),
+            lambda: self._dropped(call),
+            render=lambda: request_bytes(order),
+            size=COMMAND_BYTES + len(order.request.body),
+        )
         self.calls[request_id] = call
         self.used_at = now
         self.outbox.post(call.parcel)
@@ -306,7 +314,7 @@
 
     async def run(self, order: Order) -> Outcome:
         address = self.members.addresses.get(order.member)
-        if address is None or order.timeout_us <= 0 or not order.is_still_valid():
+        if address is None or order.left_us() <= 0 or not order.is_still_valid():
             return Outcome(i.Status.NOT_SENT)
         try:
             link = self._link(order, address)
@@ -315,7 +323,7 @@
             log.warning("no socket", member=order.member, error=str(error))
             return Outcome(i.Status.NOT_SENT)
         call = link.call(order)
-        limit = asyncio.get_running_loop().call_later(order.timeout_us / 1e6, link.expire, call)
+        limit = asyncio.get_running_loop().call_later(order.left_us() / 1e6, link.expire, call)
         try:
             return await call.result
         except asyncio.CancelledError:
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import ujson
@@ -14,13 +16,16 @@
 from onyxwick.config.address import read_address
 from onyxwick.core import Core
 from onyxwick.core.clock import FeedStamps
-from onyxwick.core.pacing import BackoffPolicy, ReconnectBackoff
+from onyxwick.core.pacing import BackoffPolicy, Patience, ReconnectBackoff
 from onyxwick.counters import Counters
-from onyxwick.net.buffer import Buffer
+from onyxwick.net.buffer import Buffer, readable
 
 log = logs.get()
-SILENT_S = 2.2  # a line comes each second: without one for so long the connection is broken
+SILENT_S = 2.2  # a line comes each second: without a byte for so long the connection is broken
 CONNECT_S = 0.8  # with the silence before it under the 4 s after which an event counts as told
+LINE_S = 10.0  # for a line whose bytes come without a pause: a whole list on a slow connection
+GAP_TRIES = 4  # connections on which an event is missing before it is given up
+APPLY_TRIES = 3  # of an event whose application fails; then it is passed over, as the feed must go on
 FIRST_RETRY_US = (
     100_000  # the first wait after a failed or lost connection; the next ones doubled, drawn below
 )
@@ -60,6 +65,10 @@
     return i.MembersChanged(kind, tuple(members), int(told.get("version") or 0)), addresses
 
 
+class EventFailedError(OSError):
+    """An event was read and could not be applied; the connection ends, and it is asked for again."""
+
+
 class Coordinator:
     """Follows the coordinator's feed and hands its events to the core.
 
@@ -77,33 +86,61 @@
         self.address = ("", 0)
         self.limit: asyncio.Timeout | None = None  # how long the connection under way may be silent
         self.stamps = FeedStamps()
+        self.connect_patience = Patience(CONNECT_S, 2)
+        self.first_byte_patience = Patience(SILENT_S, 2)
+        self.line_patience = Patience(LINE_S, 4)
+        self.failed_tries = 0  # of the next event
+        self.gaps = 0  # connections on which the event after the next one came instead
         self.beat: Callable[[], None] | None = None  # called with each line that the feed brings
 
     def known(self, known: dict[str, Any]) -> None:
         """What the configuration tells of the time before the start."""
         for event in known.get("updates") or ():
-            self.apply(event)
+            for _ in range(APPLY_TRIES):
+                with contextlib.suppress(EventFailedError):
+                    self.apply(event)
+                    break
         self.last = max(self.last, int(known.get("index") or 0))
 
     def apply(self, event: dict[str, Any]) -> None:
-        """One event; one that cannot be read is counted and passed over, as waiting would not mend it."""
+        """One event; one that cannot be read is counted and passed over, as waiting would not mend it.
+
+        EventFailedError where applying it failed: it was not taken in, and is to be told again.
+        """
         index = int(event["index"])
         if index <= self.last:
             return
-        self.last = index
         try:
-            if "endpoints" in event:
-                self.core.list_changed(*read_members(event["endpoints"], self.stamps, self.core.now()))
-            if "evict" in event:
-                evict = event["evict"]
-                name = None if evict.get("ref") is None else str(evict["ref"])
-                group = -1 if evict.get("shard") is None else int(evict["shard"])
-                made = self.stamps.purge(int(evict["unix_ms"]) * 1000, self.core.now())
-                self.core.purged(group, name, made)
+            changes = self._changes(event)
         except (KeyError, ValueError, TypeError, AttributeError) as error:
             self.bad(f"event {index}: {error!r}")
+            changes = []
+        try:
+            for change in changes:
+                change()
+        except Exception as error:
+            self.counters.add("error.event")
+            log.exception("error in an event of the coordinator", index=index)
+            self.failed_tries += 1
+            if self.failed_tries < APPLY_TRIES:
+                raise EventFailedError(f"event {index} is to be told again") from error
+        self.last, self.failed_tries = index, 0
         self.core.feed_observed(index)
 
+    def _changes(self, event: dict[str, Any]) -> list[Callable[[], None]]:
+        """What an event asks for; KeyError, ValueError, TypeError or AttributeError: it cannot be read."""
+        changes: list[Callable[[], None]] = []
+        if "endpoints" in event:
+            read = read_members(event["endpoints"], self.stamps, self.core.now())
+            changes.append(partial(self.core.list_changed, *read))
+        if "evict" in event:
+            evict = event["evict"]
+            name = None if evict.get("ref") is None else str(evict["ref"])
+            group = -1 if evict.get("shard") is None else int(evict["shard"])
+            made = self.stamps.purge(int(evict["unix_ms"]) * 1000, self.core.now())
+            changes.append(partial(self.core.purged, group, name, made))
+        return changes
+
     def bad(self, text: str) -> None:
         self.counters.add("bad.coordinator")
         log.warning("bad input of the coordinator", detail=text)
@@ -112,8 +149,7 @@
         try:
             told = ujson.loads(text)
             if isinstance(told, dict):
-                if int(told["index"]) > self.last + 1:
-                    raise OSError("events were left out")  # asked for again on a new connection
+                self._must_follow(int(told["index"]))
                 self.apply(told)
             elif isinstance(told, int):
                 self._number(told)
@@ -122,6 +158,19 @@
         except (ValueError, KeyError, TypeError) as error:
             self.bad(f"{error!r} in {text[:64]!r}")
 
+    def _must_follow(self, index: int) -> None:
+        """Events that were left out, or came as lines that cannot be read, are asked for again on a new
+        connection; OSError. What never comes whole is given up: the feed must get on."""
+        if index <= self.last + 1:
+            self.gaps = 0
+            return
+        self.gaps += 1
+        if self.gaps < GAP_TRIES:
+            raise OSError("events were left out")
+        self.counters.add("error.gap")
+        log.error("events never came whole and are given up", first=self.last + 1, next=index)
+        self.gaps, self.last = 0, index - 1
+
     def _number(self, number: int) -> None:
         """The last number alone. Events that it counted a second ago and that never came are lost here."""
         if self.last < self.announced:
@@ -159,18 +208,38 @@
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            async with asyncio.timeout(CONNECT_S) as self.limit:
-                await loop.sock_connect(sock, self.address)
-                await loop.sock_sendall(sock, b"follow %d\n" % self.last)
+            with self.connect_patience:
+                async with asyncio.timeout(self.connect_patience.limit_s) as self.limit:
+                    await loop.sock_connect(sock, self.address)
+                    await loop.sock_sendall(sock, b"follow %d\n" % self.last)
+            with self.first_byte_patience:
+                async with asyncio.timeout(self.first_byte_patience.limit_s) as self.limit:
+                    await readable(loop, sock)
             async with asyncio.timeout(SILENT_S) as self.limit:
-                while await buffer.receive(loop, sock):
-                    while (end := buffer.find(b"\n")) >= 0:
-                        if line := buffer.take(end + 1).strip():
-                            self.line(line)
-                            if self.beat is not None:
-                                self.beat()
-                            self.backoff.reset()
-                            self.limit.reschedule(loop.time() + SILENT_S)
-                    if len(buffer) > MAX_LINE:
-                        raise OSError("line too long")
-                raise OSError("closed by the coordinator")
+                await self._read_lines(loop, sock, buffer, self.limit)
+
+    async def _read_lines(
+        self, loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer, limit: asyncio.Timeout
+    ) -> None:
+        """Take in line after line; any bytes are progress, as a whole list may come slowly."""
+        line_began = loop.time()
+        while await buffer.receive(loop, sock):
+            if not limit.expired():
+                limit.reschedule(loop.time() + SILENT_S)
+            while (end := buffer.find(b"\n")) >= 0:
+                if line := buffer.take(end + 1).strip():
+                    self.line(line)
+                    if self.beat is not None:
+                        self.beat()
+                    self.backoff.reset()
+                    self.line_patience.reset()
+                    await asyncio.sleep(0)  # a list holds the loop: others have their turn before the next
+                line_began = loop.time()
+            if len(buffer) > MAX_LINE:
+                raise OSError("line too long")
+            if len(buffer) and loop.time() - line_began > self.line_patience.limit_s:
+                self.line_patience.extend()
+                raise OSError("a line takes too long")
+            if not len(buffer):
+                line_began = loop.time()
+        raise OSError("closed by the coordinator")
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -14,7 +14,7 @@
 from onyxwick.config.relay import SHUT_LEAST, SHUT_SHARE
 from onyxwick.core import Answer, Core, RequestLifecycle, Verdict
 from onyxwick.counters import Counters
-from onyxwick.net import fastcgi, room
+from onyxwick.net import errors, fastcgi, room
 from onyxwick.net.buffer import ended, readable, unread
 from onyxwick.net.calls import OwnerFields, answer_bytes, read_request
 from onyxwick.net.listening import BACKLOG
@@ -41,7 +41,9 @@
 GIVEN_UP_MOST = 8
 """Connections given up and not closed yet before more are accepted: a close takes some turns of the loop."""
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
-ACCEPT_PAUSE_S = 0.05  # after an accept that failed, for want of descriptors as a rule
+ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
+ACCEPT_REST_S = 1.0  # for who waits to be accepted at the end, where accept fails meanwhile
+ACCEPT_REST_MOST = 4 * BACKLOG  # accepted then at most: clients may go on coming
 
 
 class Client:
@@ -423,9 +425,7 @@
                 await readable(loop, sock)
                 continue
             except OSError as error:
-                self.counters.add("error.accept")
-                log.warning("accept failed", error=str(error))
-                pause = ACCEPT_PAUSE_S
+                pause = self._accept_failed(error)
             await self._given_up_closed()
             taken += 1
             if pause or taken % ACCEPT_TURN == 0:  # a crowd at the door leaves the others their turn
@@ -434,11 +434,32 @@
 
     async def accept_rest(self, sock: socket.socket) -> None:
         """Take in whoever has connected already, before the listening socket closes: a close would reset them
-        with what they have written. Between the last look for one and the return nothing else runs."""
-        with contextlib.suppress(OSError):  # none is left, or there is no room for more
-            for _ in range(BACKLOG):
+        with what they have written. Between the last look for one and the return nothing else runs.
+
+        Errors pass, and only an empty backlog is the end; bounded by `ACCEPT_REST_S` and `ACCEPT_REST_MOST`.
+        """
+        end = time.monotonic() + ACCEPT_REST_S
+        for _ in range(ACCEPT_REST_MOST):
+            pause = 0.0
+            try:
                 self._admit(sock.accept()[0])
-                await self._given_up_closed()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                pause = self._accept_failed(error)
+            await self._given_up_closed()
+            if time.monotonic() > end:
+                break
+            if pause:
+                await asyncio.sleep(pause)
+        log.error("the listening socket closes before all who wait are taken in")
+
+    def _accept_failed(self, error: OSError) -> float:
+        """Count and log it; how many seconds to wait before the next accept."""
+        exhausted = errors.is_exhausted(error)
+        self.counters.add("error.accept" if exhausted else "client.aborted")
+        log.warning("accept failed", error=str(error))
+        return ACCEPT_PAUSE_S if exhausted else 0.0
 
     def _admit(self, conn: socket.socket) -> None:
         if len(self.clients) - len(self.shut) >= self.most_clients and not self._make_room():
--- a/onyxwick/net/outbox.py
+++ b/onyxwick/net/outbox.py
@@ -20,9 +20,13 @@
 
 
 class Parcel:
-    """Bytes to be written as one. `check` is asked right before the first of them."""
+    """Bytes to be written as one. `check` is asked right before the first of them.
 
-    __slots__ = ("begun_at", "check", "data", "dropped", "progress", "release")
+    `render` makes the bytes at that moment, each time they are about to be written: what they tell of the
+    time left holds then. `size` is a guess before.
+    """
+
+    __slots__ = ("begun_at", "check", "data", "dropped", "progress", "release", "render", "size")
 
     def __init__(
         self,
@@ -30,8 +34,11 @@
         check: Callable[[], bool] | None = None,
         dropped: Callable[[], None] | None = None,
         release: Callable[[], None] | None = None,
+        render: Callable[[], bytes] | None = None,
+        size: int = 0,
     ) -> None:
-        self.data, self.check, self.dropped = data, check, dropped
+        self.data, self.check, self.dropped, self.render = data, check, dropped, render
+        self.size = size or len(data)  # that it counts as waiting
         self.begun_at = 0.0  # monotonic seconds at which its first byte was written
         self.release = release  # called once, when its bytes are held no more
         self.progress = Progress.WAITING
@@ -75,8 +82,8 @@
         if not self.queue and not self.pending:
             self.drained.clear()
         self.queue.append(parcel)
-        self.pending += len(parcel.data)
-        self.tally.held += len(parcel.data)
+        self.pending += parcel.size
+        self.tally.held += parcel.size
         if self.more is not None and not self.more.done():
             self.more.set_result(None)
         return parcel
@@ -136,9 +143,18 @@
                     parcel.dropped()
                 continue
             parcel.progress, parcel.begun_at = Progress.BEGUN, now
+            if parcel.render is not None:
+                self._render(parcel, parcel.render)
             size += len(parcel.data)
             self.batch.append(parcel)
 
+    def _render(self, parcel: Parcel, render: Callable[[], bytes]) -> None:
+        parcel.data = render()
+        more = len(parcel.data) - parcel.size
+        parcel.size += more
+        self.pending += more
+        self.tally.held += more
+
     def _cut(self, written: int) -> bytes:
         """Of a batch that went out only so far: what of a parcel is still to come. A parcel of which no byte
         went out waits again and is checked again, as a drain may be told before the socket takes more."""
@@ -165,9 +181,9 @@
 
     def _finish(self, parcel: Parcel, progress: Progress) -> None:
         parcel.progress = progress
-        self.pending -= len(parcel.data)
-        self.tally.held -= len(parcel.data)
-        parcel.data = b""
+        self.pending -= parcel.size
+        self.tally.held -= parcel.size
+        parcel.data, parcel.size = b"", 0
         _release(parcel)
         if not self.queue and not self.pending:
             self.drained.set()
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -109,7 +109,7 @@
     played(play)
 
 
-# ---- stamps of a feed whose clock is another one ------------------------------------------------------------
+# ---- stamps of a feed whose clock is another one ----------------------------------------------------------
 
 S_US = 1_000_000
 
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -17,7 +17,8 @@
     "onyxwick.core.members",
     "onyxwick.core.model", "onyxwick.core.pacing", "onyxwick.counters", "onyxwick.interface",
     "onyxwick.lifecycle", "onyxwick.logic", "onyxwick.logs", "onyxwick.net", "onyxwick.net.buffer",
-    "onyxwick.net.caches", "onyxwick.net.calls", "onyxwick.net.coordinator", "onyxwick.net.fastcgi",
+    "onyxwick.net.caches", "onyxwick.net.calls", "onyxwick.net.coordinator", "onyxwick.net.errors",
+    "onyxwick.net.fastcgi",
     "onyxwick.net.front", "onyxwick.net.listening", "onyxwick.net.outbox", "onyxwick.net.resp",
     "onyxwick.net.room", "onyxwick.settings",
 }  # fmt: skip
--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -14,6 +14,7 @@
 
 from onyxwick.net import coordinator
 from onyxwick.net.coordinator import Coordinator
+from onyxwick.net.front import Front
 from onyxwick.net.listening import listen
 from tests.ground import Ground, ask, played
 
@@ -77,6 +78,49 @@
     played(play)
 
 
+def test_an_event_whose_application_fails_is_told_again_and_the_feed_gets_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(ground: Ground) -> None:
+        follower, purges, applied = Coordinator(ground.core, ground.counters), [2], list[str | None]()
+
+        def purged(group: int, name: str | None, made: int) -> None:
+            if name == "a" * 16 and purges[0]:
+                purges[0] -= 1
+                raise KeyError("an error of our own")
+            applied.append(name)
+
+        monkeypatch.setattr(ground.core, "purged", purged)
+        first, second = (
+            json.dumps({"index": n, "evict": {"ref": ref * 16, "unix_ms": 1}}).encode()
+            for n, ref in ((1, "a"), (2, "b"))
+        )
+        for _ in range(2):
+            with pytest.raises(OSError):
+                follower.line(first)
+            assert follower.last == 0
+        follower.line(first)
+        follower.line(second)
+        assert applied == ["a" * 16, "b" * 16] and follower.last == 2
+
+    played(play)
+
+
+def test_a_line_that_never_comes_whole_does_not_hold_up_the_feed_for_ever() -> None:
+    async def play(ground: Ground) -> None:
+        follower = Coordinator(ground.core, ground.counters)
+        event = json.dumps({"index": 2, "evict": {"ref": "b" * 16, "unix_ms": 1}}).encode()
+        for connection in range(coordinator.GAP_TRIES):
+            follower.line(b'{"index":1,"evi')
+            if connection < coordinator.GAP_TRIES - 1:
+                with pytest.raises(OSError):
+                    follower.line(event)
+        follower.line(event)
+        assert follower.last == 2 and ground.counters.counts["error.gap"] == 1
+
+    played(play)
+
+
 # ---- accept -----------------------------------------------------------------------------------------------
 
 
@@ -93,6 +137,42 @@
     played(play)
 
 
+def test_all_that_may_wait_to_be_accepted_are_taken_in_at_the_end() -> None:
+    """Linux lets one more wait than the backlog says."""
+
+    class Crowd:
+        left = 1025
+
+        def accept(self) -> tuple[Any, Any]:
+            if not self.left:
+                raise BlockingIOError
+            self.left -= 1
+            return self, None
+
+        def close(self) -> None:
+            pass
+
+    async def play(ground: Ground) -> None:
+        full = Front(ground.core, ground.counters, lambda: True, 0, 10_000_000)
+        await full.accept_rest(Crowd())  # type: ignore[arg-type]
+        assert ground.counters.counts["client.refused"] == 1025
+
+    played(play)
+
+
+def test_a_connection_given_up_before_it_was_accepted_holds_up_no_other() -> None:
+    async def play(ground: Ground) -> None:
+        door = listen(("127.0.0.1", 0))
+        ground.opened += [door, socket.create_connection(door.getsockname())]
+        flaky = FailingListener(door, *[errno.ECONNABORTED] * 40)
+        ground.tasks.append(asyncio.get_running_loop().create_task(ground.front.accept(flaky)))  # type: ignore[arg-type]
+        begun = asyncio.get_running_loop().time()
+        await ground.until(lambda: ground.front.clients)
+        assert asyncio.get_running_loop().time() - begun < 0.5
+
+    played(play)
+
+
 # ---- the time told to a cache -----------------------------------------------------------------------------
 
 
