--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -8,15 +8,18 @@
 import os
 import re
 import socket
+import time
+from functools import partial
 from typing import Any
 
 import pytest
 
-from onyxwick.net import coordinator
+from onyxwick import interface as i
+from onyxwick.net import coordinator, resp
 from onyxwick.net.coordinator import Coordinator
 from onyxwick.net.front import Front
 from onyxwick.net.listening import listen
-from tests.ground import Ground, ask, played
+from tests.ground import FOUND, Ground, ask, call, played
 
 
 def failed(number: int) -> OSError:
@@ -195,3 +198,60 @@
         assert told <= left_ms + 150
 
     played(play)
+
+
+# ---- connections that have just come -----------------------------------------------------------------------
+
+
+def test_who_connects_and_asks_while_the_front_closes_is_answered() -> None:
+    async def play(ground: Ground, asks_after_s: float) -> None:
+        ground.script.arrived = lambda request: [i.Fail(request)]
+        client = await ground.client()
+        await ground.until(lambda: ground.front.clients)
+        ground.tasks.append(asyncio.get_running_loop().create_task(ground.front.sweep()))
+        ground.front.close(True)
+        await asyncio.sleep(asks_after_s)
+        await asyncio.get_running_loop().sock_sendall(client, call(1))
+        assert b"502 Bad Gateway" in await ground.read(client, b"Gateway")
+
+    for asks_after_s in (0.02, 0.1, 0.6):
+        played(partial(play, asks_after_s=asks_after_s))
+
+
+# ---- connects that fail for want of something here ---------------------------------------------------------
+
+
+class FailingSocket(socket.socket):
+    """A socket whose connect to one address fails for a while."""
+
+    address: tuple[str, int] = ("", 0)
+    number = 0
+    until = 0.0
+
+    def connect(self, address: Any) -> None:
+        if address == self.address and time.monotonic() < FailingSocket.until:
+            raise failed(self.number)
+        super().connect(address)
+
+
+def test_an_error_of_this_machine_is_waited_out_and_not_held_against_the_cache(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(ground: Ground, number: int) -> None:
+        cache = ground.cache("c0")
+        monkeypatch.setattr(FailingSocket, "address", cache.getsockname())
+        monkeypatch.setattr(FailingSocket, "number", number)
+        monkeypatch.setattr(FailingSocket, "until", time.monotonic() + 0.3)
+        monkeypatch.setattr(socket, "socket", FailingSocket)
+        ground.script.arrived = lambda request: ask(request, "c0")
+        lifecycle = ground.start()
+        conn = await ground.accepted(cache)
+        await ground.read(conn, lifecycle.request.id.encode())
+        await asyncio.get_running_loop().sock_sendall(
+            conn, resp.command(lifecycle.request.id.encode(), b"data", FOUND, b"walk")
+        )
+        await ground.until(lambda: ground.answers)
+        assert ground.script.ends() == [i.Status.OK]
+
+    for number in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS):
+        played(partial(play, number=number))
