New connections keep a first call's time, connects that fail here wait, commands are written

Causes: Client.may_end took a connection that had never asked for one that owes nothing; Link made its socket and connected once, and any error ended its attempts as connect_failed, which the module blames on the cache; Door._order wrote the file once; Lasting.read noted the file as seen before it was read; a start that could not read it began at version 0 and its next command overwrote what stood there; the times of caches let back in were wall-clock times. Change: 1 s for a first call; connects that fail for want of something here (net/errors.py) are tried again for 2 s and end as not sent; unwritten commands are kept by cache and put on top of what is read, then written, each 0.1 s; a start tries its predecessor's file for 2 s; times in the file move by the writer's offset from the monotonic clock. A command that is not written yet is still answered with 200, as the rule binds from 1 s after the call whatever is answered; the answer's new field kept says whether a successor would know of it.

--- a/onyxwick/core/clock.py
+++ b/onyxwick/core/clock.py
@@ -31,11 +31,12 @@
     """Unix microseconds that advance with the monotonic clock: spans between two readings are real time."""
 
     def __init__(self) -> None:
-        self._offset_us = wall_us() - time.monotonic_ns() // 1000
+        self.offset_us = wall_us() - time.monotonic_ns() // 1000
+        """Steady less monotonic time, for files that another process of the same machine reads."""
 
     def __call__(self) -> int:
         """The time now."""
-        return self._offset_us + time.monotonic_ns() // 1000
+        return self.offset_us + time.monotonic_ns() // 1000
 
 
 steady_us = SteadyClock()
--- a/onyxwick/door/bridge.py
+++ b/onyxwick/door/bridge.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -21,6 +22,7 @@
 from onyxwick.door.lasting import Lasting
 
 log = logs.get()
+RECALL_S, RECALL_RETRY_S = 2.0, 0.05  # how long a start waits for a predecessor's file, and between two tries
 
 
 class Bridge:
@@ -43,14 +45,14 @@
         self.loop: asyncio.AbstractEventLoop | None = None
 
     def recall(self) -> None:
-        """What a predecessor was ordered, before anything is listed or sent; a file that cannot be read is
-        passed over with one log line, as there is nothing better to go by."""
+        """What a predecessor was ordered, before anything is listed or sent. A file that cannot be read is
+        tried again for `RECALL_S`; after that the program starts, and the door goes on trying."""
         if self.lasting is None:
             return
         try:
-            read = self.lasting.read()
+            read = _read_patiently(self.lasting)
         except (OSError, ValueError) as error:
-            log.warning("the door's file of a predecessor cannot be read", error=str(error))
+            log.error("the door's file of a predecessor cannot be read", error=str(error))
             return
         if read is not None:
             self.orders = self.applied = read[0]
@@ -98,6 +100,18 @@
         )
 
 
+def _read_patiently(lasting: Lasting) -> tuple[o.Orders, list[str]] | None:
+    """The file's orders; OSError where it could not be read for so long. Blocks: nothing is served yet."""
+    end = time.monotonic() + RECALL_S
+    while True:
+        try:
+            return lasting.read()
+        except OSError:
+            if time.monotonic() > end:
+                raise
+            time.sleep(RECALL_RETRY_S)
+
+
 def lasting(folder: str | None, name: str) -> Lasting | None:
     """The file shared with a successor, in the folder that the platform gives both (`$TMPDIR`); None where
     no such folder is given, as a folder of some other use may hold what another director left."""
--- a/onyxwick/door/lasting.py
+++ b/onyxwick/door/lasting.py
@@ -8,19 +8,32 @@
 from __future__ import annotations
 
 import os
+from dataclasses import replace
+from functools import cache
 from pathlib import Path
 
 import ujson
 
+from onyxwick.core.clock import SteadyClock, steady_us
 from onyxwick.door.orders import Known, Orders, of_json, to_json
 
 MOST_BYTES = 1_000_000  # a larger file is no file of ours
 
 
+@cache
+def boot_id() -> str:
+    """Which start of the machine this is: monotonic clocks of two processes agree within one."""
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
+
+
 class Lasting:
     """One file of orders; I/O through the standard calls on the folder it is given."""
 
-    def __init__(self, folder: Path, name: str) -> None:
+    def __init__(self, folder: Path, name: str, clock: SteadyClock = steady_us) -> None:
+        self.clock = clock
         self.path = folder / f"onyxwick-orders-{name or 'director'}.json"
         self.seen: tuple[int, int, int] | None = None  # inode, size and time of the text last read or written
 
@@ -39,14 +52,33 @@
         stamp = self._stamp()
         if stamp is None or stamp == self.seen:
             return None
-        self.seen = stamp
         if stamp[1] > MOST_BYTES:
             raise ValueError(f"{self.path.name} is larger than {MOST_BYTES} bytes")
-        return of_json(ujson.loads(self.path.read_bytes()))
+        text = self.path.read_bytes()
+        self.seen = stamp  # only now: an error before passes, and the file is read again
+        data = ujson.loads(text)
+        orders, known = of_json(data)
+        return self._in_steady_time(orders, data.get("clock")), known
+
+    def _in_steady_time(self, orders: Orders, clock: object) -> Orders:
+        """Times of another process's steady clock in this one's. Both run with the machine's monotonic clock,
+        which a step of the wall clock between their starts does not move; of the two readings the later
+        holds, so that no cache is taken for warmer than it is."""
+        shift = 0
+        if (
+            isinstance(clock, dict)
+            and clock.get("boot") == boot_id()
+            and isinstance(clock.get("offset"), int)
+        ):
+            shift = self.clock.offset_us - clock["offset"]
+        now = self.clock()
+        back = tuple((name, min(now, max(at, at + shift))) for name, at in orders.back)
+        return replace(orders, back=back)
 
     def write(self, orders: Orders, known: Known) -> None:
         """The orders whole, in place of what was there; OSError where the folder takes nothing."""
         draft = self.path.with_name(f".{self.path.name}.{os.getpid()}")
-        draft.write_text(ujson.dumps(to_json(orders, known)))
+        clock = {"boot": boot_id(), "offset": self.clock.offset_us}
+        draft.write_text(ujson.dumps({**to_json(orders, known), "clock": clock}))
         os.replace(draft, self.path)
         self.seen = self._stamp()
--- a/onyxwick/door/orders.py
+++ b/onyxwick/door/orders.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import TypeGuard
 
@@ -29,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Orders:
-    """All that the door has ordered. `back`: caches let back in, with the Unix microsecond of it."""
+    """All that the door has ordered. `back`: caches let back in, with the steady microsecond of it."""
 
     version: int = 0
     drained: bool = False
@@ -64,6 +65,17 @@
     return replace(orders, version=orders.version + 1, drained=drained)
 
 
+Change = Callable[[Orders], Orders]
+"""What a call makes of orders."""
+
+
+def rebased(theirs: Orders, changes: Iterable[Change]) -> Orders:
+    """Changes of this process that nobody else has seen, on top of what another process wrote meanwhile."""
+    for change in changes:
+        theirs = change(theirs)
+    return theirs
+
+
 def newer(mine: Orders, theirs: Orders) -> Orders:
     """Of the orders this process has and those another wrote, the later ones."""
     return theirs if theirs.version > mine.version else mine
--- a/onyxwick/door/server.py
+++ b/onyxwick/door/server.py
@@ -13,6 +13,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import uvloop
@@ -59,6 +60,7 @@
     ) -> None:
         self.bound, self.director, self.orders, self.known = bound, director, orders, known
         self.lasting, self.clock = lasting, clock
+        self.unwritten: dict[str, o.Change] = {}  # ordered here, not in the file yet; by cache, "" the drain
         self.counters = Counters()  # of this thread alone: the director's are written by its own
         self.server = HttpServer(
             address, self, self.counters, PLACES, PATIENCE_S, one_call=True, name="door", counted="door"
@@ -113,44 +115,68 @@
         if call.kind is Kind.METRICS:
             return 200, self.director.figures()
         if call.kind in (Kind.DRAIN, Kind.UNDRAIN):
-            self._order(o.drain(self.orders, call.kind is Kind.DRAIN))
-            return 200, {"drained": self.orders.drained}
+            self._order("", partial(o.drain, drained=call.kind is Kind.DRAIN))
+            return 200, {"drained": self.orders.drained, "kept": not self.unwritten}
         if call.cache not in self.known:
             self.counters.add("door.unknown")
             log.warning("a call for a cache never listed", cache=call.cache)
             raise HttpError(404, f"cache {call.cache!r} was never listed")
         now, change = self.clock(), o.disable if call.kind is Kind.DISABLE else o.enable
         try:
-            self._order(change(self.orders, call.cache, now))
+            self._order(call.cache, partial(change, cache=call.cache, now=now))
         except o.OrderError as error:
             raise HttpError(409, str(error)) from None
-        return 200, {"cache": call.cache, "disabled": call.cache in self.orders.held}
-
-    def _order(self, orders: o.Orders) -> None:
-        """Orders that bind from now on: in this process at once, in the file for the other one."""
-        if orders is self.orders:
+        disabled = call.cache in self.orders.held
+        return 200, {"cache": call.cache, "disabled": disabled, "kept": not self.unwritten}
+
+    def _order(self, what: str, change: o.Change) -> None:
+        """A change that binds from now on: in this process at once, in the file as soon as the folder takes
+        it. `what`: the cache, or "" for the drain; of two changes of the same the later one is enough."""
+        orders = change(self.orders)
+        if orders is not self.orders:
+            self.orders = orders
+            self.director.ordered(orders, [])
+            self.counters.add("door.ordered")
+            if self.lasting is not None:
+                self.unwritten.pop(what, None)
+                self.unwritten[what] = change
+        self._synchronise()
+
+    def _synchronise(self) -> None:
+        """Take up what the other process of an upgrade has written, and write what this one was ordered.
+
+        Nothing is written over a file that could not be read: another process's orders may stand in it.
+        """
+        if self.lasting is None:
             return
-        self.orders = orders
-        self.director.ordered(orders, [])
-        self.counters.add("door.ordered")
-        if self.lasting is not None:
-            try:
-                self.lasting.write(orders, self.known)
-            except OSError as error:
-                self.counters.add("door.unsaved")
-                log.error("the door's orders are not kept for a successor", error=str(error))
+        try:
+            self._take_over(self.lasting)
+            if self.unwritten:
+                self.lasting.write(self.orders, self.known)
+                self.unwritten.clear()
+        except OSError as error:
+            self.counters.add("door.unsaved" if self.unwritten else "door.unreadable")
+            log.warning("the door's file fails, and is tried again", error=str(error))
+
+    def _take_over(self, lasting: Lasting) -> None:
+        try:
+            read = lasting.read()
+        except ValueError as error:  # no file of orders: there is nothing in it to keep
+            self.counters.add("door.unreadable")
+            log.warning("the door's file cannot be used", error=str(error))
+            return
+        if read is None or (read[0].version <= self.orders.version and not self.unwritten):
+            return
+        self.orders = o.rebased(read[0], self.unwritten.values())
+        self.director.ordered(self.orders, read[1])
+        log.info("orders taken from the other process", version=read[0].version)
 
     async def _look(self) -> None:
-        """Take up what the other process of an upgrade was ordered, as soon as it has written it."""
+        """Look at the file again and again: what another process wrote, and whether it takes what is owed."""
         while self.lasting is not None:
             await asyncio.sleep(LOOK_S)
             try:
-                read = self.lasting.read()
-            except (OSError, ValueError) as error:
-                self.counters.add("door.unreadable")
-                log.warning("the door's file cannot be read", error=str(error))
-                continue
-            if read is not None and read[0].version > self.orders.version:
-                self.orders = read[0]
-                self.director.ordered(read[0], read[1])
-                log.info("orders taken from the other process", version=read[0].version)
+                self._synchronise()
+            except Exception:
+                self.counters.add("error.door")
+                log.exception("error in the door's look at its file")
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -16,7 +16,7 @@
 from onyxwick.core.members import Members
 from onyxwick.core.model import Order, Outcome
 from onyxwick.counters import Counters
-from onyxwick.net import resp
+from onyxwick.net import errors, resp
 from onyxwick.net.buffer import unread
 from onyxwick.net.outbox import Outbox, Parcel, Progress, Tally
 
@@ -28,6 +28,8 @@
     0.6  # an answer that has begun and brings nothing for so long stops short: its connection is of no use
 )
 SWEEP_S = 0.2
+LOCAL_TROUBLE_S = 2.0  # a connect that fails for want of something on this machine is tried again so long
+LOCAL_RETRY_S, LOCAL_RETRY_MOST_S = 0.01, 0.1  # waits between these tries, the first and the longest
 SPOILED = 256  # given-up ids on one connection after which it takes no new ones
 IDLE_S = 10.0  # under the time after which the other side closes: no send crosses its close
 STALLED_S = 3.0  # a write that moves nothing for so long means that the machine is gone
@@ -150,11 +152,10 @@
         )  # of an answer that has begun: what waits in the socket, and since when
         self.half_since = 0.0  # when the answer that has come in part began, or 0
         self.up = self.retired = self.closed = False
+        self.kept_back = False  # by this machine: its last connect failed for want of something here
         self.heard_at = self.used_at = time.monotonic()
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setblocking(False)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.outbox = Outbox(self.sock, caches.tally)
+        self.sock: socket.socket | None = None
+        self.outbox = Outbox(None, caches.tally)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def drop(self) -> None:
@@ -199,20 +200,24 @@
             return i.Status.RESET
         del self.calls[call.id]
         if self.outbox.withdraw(call.parcel):
-            return i.Status.NOT_SENT if self.up else i.Status.CONNECT_FAILED
+            return self._never_sent()
         self.spoiled.add(call.id)
         self.outbox.post(Parcel(resp.command(b"STOP", call.id)))
         if self.heard_at < call.sent_at:
             self.retired = True  # a machine that vanished says nothing: new attempts try a new connection
         return i.Status.TIMEOUT
 
+    def _never_sent(self) -> i.Status:
+        """How an attempt ended of which nothing went out: only a connect that failed for want of nothing here
+        says something of the member."""
+        return i.Status.NOT_SENT if self.up or self.kept_back else i.Status.CONNECT_FAILED
+
     async def _run(self) -> None:
         failed = i.Status.CONNECT_FAILED
         try:
-            async with asyncio.timeout(self.caches.connect_s):
-                await asyncio.get_running_loop().sock_connect(self.sock, self.address)
+            sock = await self._connect()
             self.up, failed = True, i.Status.RESET
-            await self._talk()
+            await self._talk(sock)
         except (OSError, TimeoutError):
             pass  # told to the attempts below
         except resp.RespError as error:
@@ -221,9 +226,32 @@
         finally:
             self._close(failed)
 
-    async def _talk(self) -> None:
+    async def _connect(self) -> socket.socket:
+        """A connection that is up. What fails for want of something on this machine is tried again for a
+        while, within the attempts' own times; OSError or TimeoutError where the member is not reached."""
+        end, pause = time.monotonic() + LOCAL_TROUBLE_S, LOCAL_RETRY_S
+        while True:
+            try:
+                sock = self.sock = self.outbox.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                async with asyncio.timeout(self.caches.connect_s):
+                    await asyncio.get_running_loop().sock_connect(sock, self.address)
+                return sock
+            except OSError as error:
+                self.kept_back = errors.is_local(error)
+                if not self.kept_back or time.monotonic() > end:
+                    raise
+                self.caches.counters.add("error.connect")
+                log.warning("connect failed on this machine", member=self.member, error=str(error))
+            if self.sock is not None:
+                self.sock.close()
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LOCAL_RETRY_MOST_S)
+
+    async def _talk(self, sock: socket.socket) -> None:
         writer = asyncio.get_running_loop().create_task(self.outbox.run())
-        reader = asyncio.get_running_loop().create_task(self._read())
+        reader = asyncio.get_running_loop().create_task(self._read(sock))
         try:
             done, _ = await asyncio.wait({writer, reader}, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
@@ -233,9 +261,9 @@
             reader.cancel()
             await asyncio.gather(writer, reader, return_exceptions=True)
 
-    async def _read(self) -> None:
+    async def _read(self, sock: socket.socket) -> None:
         loop, parser, mark = asyncio.get_running_loop(), self.parser, 1
-        while await parser.buffer.receive(loop, self.sock):
+        while await parser.buffer.receive(loop, sock):
             self.heard_at = self.moved_at = time.monotonic()
             self.unread = 0
             for words in parser.messages():
@@ -247,11 +275,11 @@
             missing = max(1, min(parser.need - len(parser.buffer), WAKE_MOST))
             if missing != mark:
                 mark = missing
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, mark)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, mark)
 
     def stuck(self, now: float) -> bool:
         """Has an answer begun and then stopped? What the socket holds counts, as reads wait."""
-        if not self.up or not len(self.parser.buffer):
+        if self.sock is None or not self.up or not len(self.parser.buffer):
             return False
         waiting = unread(self.sock)
         if waiting != self.unread:
@@ -281,13 +309,13 @@
 
     def _close(self, failed: i.Status) -> None:
         self.closed = self.retired = True
-        self.sock.close()
+        if self.sock is not None:
+            self.sock.close()
         self.caches.forget(self)
         calls, self.calls = self.calls, {}
         for call in calls.values():
             unsent = call.parcel.progress in (Progress.WAITING, Progress.DROPPED)
-            never = i.Status.NOT_SENT if self.up else i.Status.CONNECT_FAILED
-            call.settle(Outcome(never if unsent else failed))
+            call.settle(Outcome(self._never_sent() if unsent else failed))
         self.outbox.close()
 
 
@@ -318,9 +346,9 @@
             return Outcome(i.Status.NOT_SENT)
         try:
             link = self._link(order, address)
-        except OSError as error:  # out of descriptors: nothing was sent
-            self.counters.add("error.socket")
-            log.warning("no socket", member=order.member, error=str(error))
+        except OSError as error:  # all places are taken: nothing was sent
+            self.counters.add("error.places")
+            log.warning("no place for a connection", member=order.member, error=str(error))
             return Outcome(i.Status.NOT_SENT)
         call = link.call(order)
         limit = asyncio.get_running_loop().call_later(order.left_us() / 1e6, link.expire, call)
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -41,6 +41,7 @@
 GIVEN_UP_MOST = 8
 """Connections given up and not closed yet before more are accepted: a close takes some turns of the loop."""
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
+FIRST_CALL_S = 1.0  # a connection that has just come keeps its place so long while the front closes
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 ACCEPT_REST_S = 1.0  # for who waits to be accepted at the end, where accept fails meanwhile
 ACCEPT_REST_MOST = 4 * BACKLOG  # accepted then at most: clients may go on coming
@@ -306,7 +307,10 @@
         return not unread(self.sock)
 
     def may_end(self, now: float) -> bool:
-        """The same while the front closes: who is in the middle of a call is left some time to end it."""
+        """The same while the front closes: who has just connected is left some time for its first call, and
+        who is in the middle of one to end it."""
+        if not self.calls and now - self.born < FIRST_CALL_S:
+            return False
         half = self.parser.half and now - self.used_at < room.HALF_REST_S
         return not half and self.free(now, 0.0)
 
--- a/onyxwick/net/outbox.py
+++ b/onyxwick/net/outbox.py
@@ -68,7 +68,7 @@
 
     SLICE = 65_536
 
-    def __init__(self, sock: socket.socket, tally: Tally) -> None:
+    def __init__(self, sock: socket.socket | None, tally: Tally) -> None:
         self.sock, self.tally = sock, tally
         self.queue: deque[Parcel] = deque()
         self.pending = 0  # bytes posted and not yet written
@@ -100,7 +100,8 @@
 
     async def run(self) -> None:
         """Write until the connection breaks (OSError) or this is cancelled."""
-        loop = asyncio.get_running_loop()
+        loop, sock = asyncio.get_running_loop(), self.sock
+        assert sock is not None, "it is up before anything is written"
         while True:
             if not self.queue:
                 self.writing_since = 0.0
@@ -111,7 +112,7 @@
                 continue
             data = self.batch[0].data if len(self.batch) == 1 else b"".join([p.data for p in self.batch])
             try:
-                written = self.sock.send(data)
+                written = sock.send(data)
             except (BlockingIOError, InterruptedError):
                 written = 0
             if written:
@@ -119,16 +120,16 @@
             if written == len(data):
                 self._written()
             elif rest := self._cut(written):
-                await self._write(loop, rest)
+                await self._write(loop, sock, rest)
             else:  # a socket that takes nothing: what waits is asked for anew once it does
                 self.writing_since = self.writing_since or time.monotonic()
-                await writable(loop, self.sock)
+                await writable(loop, sock)
 
-    async def _write(self, loop: asyncio.AbstractEventLoop, rest: bytes) -> None:
+    async def _write(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, rest: bytes) -> None:
         """The end of what has begun: it goes out whole, or the connection ends."""
         for at in range(0, len(rest), self.SLICE):
             self.writing_since = time.monotonic()
-            await loop.sock_sendall(self.sock, rest[at : at + self.SLICE])
+            await loop.sock_sendall(sock, rest[at : at + self.SLICE])
         self.writing_since = 0.0
         self._written()
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -688,7 +688,7 @@
         await ground.until(lambda: ground.front.clients)
         ((client, _),) = ground.front.clients.items()
         for each in (link.sock, client.sock):
-            assert each.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            assert each is not None and each.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     played(play)
 
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -5,8 +5,14 @@
 import json
 import socket
 import time
+from functools import partial
 from pathlib import Path
 
+import pytest
+
+from onyxwick.core.clock import SteadyClock
+from onyxwick.door import orders as o
+from onyxwick.door.lasting import Lasting
 from tests.exchange import DOOR, PATIENCE_S, Exchange
 
 
@@ -42,3 +48,68 @@
             time.sleep(0.02)
     finally:
         exchange.stop()
+
+
+def test_a_file_that_could_not_be_read_once_is_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    Lasting(tmp_path, "n1").write(o.disable(o.Orders(), "c0", 1), o.Known())
+    lasting, real = Lasting(tmp_path, "n1"), Path.read_bytes
+
+    def fails(path: Path) -> bytes:
+        raise OSError(5, "Input/output error")
+
+    monkeypatch.setattr(Path, "read_bytes", fails)
+    with pytest.raises(OSError):
+        lasting.read()
+    monkeypatch.setattr(Path, "read_bytes", real)
+    read = lasting.read()
+    assert read is not None and read[0].held == {"c0"}
+
+
+def test_two_processes_that_are_ordered_something_at_once_both_keep_it() -> None:
+    first, second = o.disable(o.Orders(), "c0", 1), partial(o.disable, cache="c1", now=2)
+    kept = o.rebased(first, [second])
+    assert kept.held == {"c0", "c1"} and kept.version > first.version
+
+
+def test_a_cache_let_back_in_is_as_cold_for_a_successor_though_the_wall_clock_was_stepped(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    real, hour_ns = time.time_ns, 3_600_000_000_000
+    mine = SteadyClock()
+    now = mine()
+    Lasting(tmp_path, "n1", mine).write(o.enable(o.disable(o.Orders(), "c0", now), "c0", now), o.Known())
+    for step in (hour_ns, -hour_ns):
+        monkeypatch.setattr(time, "time_ns", lambda step=step: real() + step)
+        successor = SteadyClock()
+        read = Lasting(tmp_path, "n1", successor).read()
+        assert read is not None and 0 <= successor() - read[0].cold_from("c0") < 2_000_000, step
+
+
+@pytest.mark.parametrize("orders_while_unreadable", [False, True])
+def test_a_predecessor_s_commands_are_taken_over_though_its_file_cannot_be_read_at_the_start(
+    orders_while_unreadable: bool, tmp_path: Path
+) -> None:
+    exchange = Exchange(tmp_path, door=True)
+    file = tmp_path / f"onyxwick-orders-{exchange.config['name']}.json"
+    try:
+        assert " 200 " in _post("/caches/disable/c0")
+        exchange.program.kill()
+        exchange.program.communicate()
+        file.rename(tmp_path / "away")
+        file.mkdir()  # in the way, for longer than a start waits
+        exchange.program = exchange._start()
+        exchange._until("serving")
+        if orders_while_unreadable:
+            assert " 200 " in _post("/drain")
+        file.rmdir()
+        (tmp_path / "away").rename(file)
+        exchange._until("caches left out")
+        end = time.monotonic() + PATIENCE_S / 4
+        while orders_while_unreadable and not json.loads(file.read_text())["drained"]:
+            assert time.monotonic() < end, "never written"
+            time.sleep(0.02)
+        assert _held(file) == ["c0"]
+    finally:
+        exchange.stop()
