Failing tests: a client that left in a long turn, a call that waited unread, a log that takes nothing

Observed: after a turn of 0.15 s in which its client closed or cancelled, an attempt still goes out before the close is read; a call that stood in its socket for the 0.3 s of a pause after bad input tells its cache 999 of its 1000 ms; with standard error on a full disk or a closed pipe the first log line raises into the code that logs, on a pipe that nobody empties it blocks the program (read, and seen in a subprocess).

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import io
+import os
+import subprocess
+import sys
 from collections.abc import Mapping
 
 import pytest
@@ -52,3 +55,29 @@
     finally:
         structlog.reset_defaults()
     assert ujson.loads(stream.getvalue())["event"] == "odd"
+
+
+LOGGING = """
+import sys
+from onyxwick import logs
+logs.set_up()
+for n in range(2000):
+    logs.get().warning(f"line {n}", text="x" * 200)
+print("went on")
+"""
+
+
+def test_a_log_that_takes_no_line_for_whatever_reason_stops_nothing() -> None:
+    """A full disk, a closed pipe, a pipe that nobody empties."""
+    read_end, write_end = os.pipe()
+    closed_read, closed_write = os.pipe()
+    os.close(closed_read)
+    with open("/dev/full", "w") as full:
+        for stderr in (full.fileno(), closed_write, write_end):
+            done = subprocess.run(
+                [sys.executable, "-c", LOGGING], stdout=subprocess.PIPE, stderr=stderr, text=True, timeout=20,
+                check=False,
+            )  # fmt: skip
+            assert (done.returncode, done.stdout) == (0, "went on\n"), stderr
+    for end in (read_end, write_end, closed_write):
+        os.close(end)
--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -15,7 +15,7 @@
 import pytest
 
 from onyxwick import interface as i
-from onyxwick.net import coordinator, resp
+from onyxwick.net import coordinator, fastcgi, resp
 from onyxwick.net.coordinator import Coordinator
 from onyxwick.net.front import Front
 from onyxwick.net.listening import listen
@@ -255,3 +255,59 @@
 
     for number in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS):
         played(partial(play, number=number))
+
+
+# ---- what stands unread in a client's socket -------------------------------------------------------------
+
+
+async def _asked(ground: Ground, cache: socket.socket) -> tuple[socket.socket, socket.socket]:
+    """A client that has asked, and an idle connection to the cache that is up already."""
+    ground.script.arrived = lambda request: ask(request, "c0")
+    client = await ground.client()
+    await asyncio.get_running_loop().sock_sendall(client, call(1))
+    conn = await ground.accepted(cache)
+    first = f"{1:016x}".encode()
+    await ground.read(conn, first)
+    await asyncio.get_running_loop().sock_sendall(conn, resp.command(first, b"data", FOUND, b"walk"))
+    await ground.read(client, b"walk")
+    ground.script.arrived = lambda request: []
+    await asyncio.get_running_loop().sock_sendall(client, call(2))
+    await ground.until(lambda: len(ground.core.lifecycles) == 1)
+    return client, conn
+
+
+def test_no_attempt_begins_after_a_long_turn_for_a_client_that_left_during_it() -> None:
+    async def play(ground: Ground, end: str) -> None:
+        cache = ground.cache("c0")
+        client, conn = await _asked(ground, cache)
+        second = f"{2:016x}"
+        ground.script.timer = lambda: ask(second, "c0")
+        if end == "close":
+            client.close()
+        else:
+            client.send(fastcgi.record(fastcgi.Type.ABORT, 2, b""))
+        time.sleep(0.15)  # a long turn of the loop, in which nothing is read
+        ground.core.handle(i.TimerFired("hedge"))
+        await ground.until(lambda: not ground.core.lifecycles)
+        await asyncio.sleep(0.05)
+        with pytest.raises(BlockingIOError):
+            conn.recv(65_536)
+
+    for end in ("close", "abort"):
+        played(partial(play, end=end))
+
+
+def test_a_call_that_waited_in_a_socket_that_was_not_read_from_has_waited() -> None:
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        client = await ground.client()
+        await loop.sock_sendall(client, b"".join(call(n, path="/nowhere") for n in range(1, 16)))
+        await ground.until(lambda: ground.counters.counts["bad.client"] == 15)
+        sent = time.monotonic()  # for 0.3 s nothing is read after so much bad input
+        await loop.sock_sendall(client, call(20, more={"HTTP_X_TIMEOUT_MS": "1000"}))
+        conn = await ground.accepted(cache)
+        told = _told_ms(await ground.read(conn, f"{20:016x}".encode()))
+        assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
+
+    played(play)
