The send asks the client's socket, time unread counts, and a log that takes nothing stops nothing

Causes: may_send went by what had been heard, and after a long turn attempts go out before the client's close or abort is read (three turns of the loop against five); arrived_us was the time of the parse; structlog prints to standard error and raises what print raises. Change: Request.is_wanted, asked right before the first byte, polls the client's socket and takes in what stands there (Client.wants); what is read after a pause, after failed accepts or after a stall of the loop (core/stall.py, gaps from 80 ms) counts from then, or by tcpi_last_data_recv where one call was read; logs.LineStream drops and counts lines that cannot be written at once.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -405,6 +405,9 @@
         durable intent or room in a socket: is it still wanted, may it be a repeat, is its way still open?"""
         if lifecycle.client_departed or lifecycle.answered or not self.may_repeat(lifecycle, number):
             return False
+        if not lifecycle.request.is_wanted():
+            self.leave(lifecycle)
+            return False
         return self.members.is_still_valid(member, source, lifecycle.request, decided)
 
     def may_repeat(self, lifecycle: RequestLifecycle, number: int) -> bool:
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -212,6 +212,7 @@
                 loop.create_task(coordinator.follow() if service is None else service.follow(coordinator)),
                 self._keep("sweep.caches", self.caches.sweep),
                 self._keep("sweep.front", self.front.sweep),
+                self._keep("turns", self.front.watch_turns),
                 self._keep("collect", self._collect),
             ]
             gc.set_threshold(GC_EVERY, 20, 100)  # requests leave few cycles behind
--- a/onyxwick/logs.py
+++ b/onyxwick/logs.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
+import select
 import sys
 import time
 from collections.abc import Callable, MutableMapping
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 import ujson
 
 MOST_PER_S = 10  # lines of one kind
+MOST_TRACE = 2500  # characters of an error's trace
 MOST_KINDS = 1024  # of lines counted at once
 
 
@@ -37,13 +40,57 @@
         return event
 
 
+def _shorten(logger: Any, method: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+    """The end of a long trace tells the cause; a line has to fit into one write."""
+    trace = event.get("exception")
+    if isinstance(trace, str) and len(trace) > MOST_TRACE:
+        event["exception"] = f"... {trace[-MOST_TRACE:]}"
+    return event
+
+
 def _serialise(event: Any, **_: Any) -> str:
     return ujson.dumps(event, escape_forward_slashes=False, default=repr)
 
 
+class LineStream:
+    """Standard error, for whole lines that never stop the program: a line that cannot be written at once, as
+    the disk is full, the pipe is closed or nobody empties it, is dropped and counted."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self.stream, self.dropped, self._parts = stream, 0, list[str]()
+        self._poll: select.poll | None = None
+        with contextlib.suppress(OSError, ValueError):  # no descriptor behind it: it never blocks
+            poll = select.poll()
+            poll.register(stream.fileno(), select.POLLOUT)
+            self._poll = poll
+
+    def isatty(self) -> bool:
+        """Does a person look on?"""
+        return self.stream.isatty()
+
+    def write(self, text: str) -> int:
+        """Part of a line; it goes out with `flush`."""
+        self._parts.append(text)
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what was given, or drop it."""
+        text, self._parts = "".join(self._parts), []
+        # What is writable takes so many bytes without blocking (pipe(7), PIPE_BUF).
+        if len(text) > select.PIPE_BUF:
+            text = f"{text[: select.PIPE_BUF - 2]}\n"
+        try:
+            if self._poll is not None and not self._poll.poll(0):
+                raise BlockingIOError
+            self.stream.write(text)
+            self.stream.flush()
+        except (OSError, ValueError):
+            self.dropped += 1
+
+
 def set_up(stream: TextIO | None = None) -> None:
     """Text on a terminal, else JSON lines. Called once, by whichever command runs."""
-    out = stream or sys.stderr
+    out = LineStream(stream or sys.stderr)
     terminal = out.isatty()
     last: Any = (
         structlog.dev.ConsoleRenderer(colors=False)
@@ -57,9 +104,10 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             *traces,
+            _shorten,
             last,
         ],
-        logger_factory=structlog.PrintLoggerFactory(out),
+        logger_factory=structlog.PrintLoggerFactory(cast("TextIO", out)),
         cache_logger_on_first_use=True,
     )
 
--- a/onyxwick/net/buffer.py
+++ b/onyxwick/net/buffer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import select
 import socket
@@ -10,6 +11,7 @@
 import termios
 
 ROOM = 16_384  # least free space offered to one receive, where nothing else is said
+TCP_INFO_BYTES, LAST_DATA_RECEIVED = 60, slice(52, 56)  # of Linux's struct tcp_info: tcpi_last_data_recv, ms
 KEPT = 65_536  # an emptied buffer larger than this is given back
 
 
@@ -30,6 +32,17 @@
     return bool(poll.poll(0))
 
 
+def seconds_since_data(sock: socket.socket) -> float | None:
+    """How long ago the last bytes came to a socket, as the system counts; None where it does not tell."""
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return None
+    if len(told) < TCP_INFO_BYTES:
+        return None
+    return int.from_bytes(told[LAST_DATA_RECEIVED], sys.byteorder) / 1000
+
+
 async def readable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
     """Wait until there is something to take, and take nothing: a cancel can lose nothing."""
     come: asyncio.Future[None] = loop.create_future()
@@ -105,16 +118,18 @@
     async def receive_late(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> bool:
         """The same, but the bytes stay in the socket until the caller has them: between a read by the loop
         and the reader's turn `unread` would not tell of them, and a connection would seem to owe nothing."""
-        self._make_room(self.room)
         while True:
             await readable(loop, sock)
-            with memoryview(self.data) as whole, whole[self.end :] as room:
-                try:
-                    got = sock.recv_into(room)
-                except BlockingIOError:
-                    continue
-            self.end += got
-            return got > 0
+            with contextlib.suppress(BlockingIOError):  # somebody else has taken it, or there was nothing
+                return self.receive_now(sock)
+
+    def receive_now(self, sock: socket.socket) -> bool:
+        """What stands in the socket; False at the stream's end, BlockingIOError where there is nothing."""
+        self._make_room(self.room)
+        with memoryview(self.data) as whole, whole[self.end :] as room:
+            got = sock.recv_into(room)
+        self.end += got
+        return got > 0
 
     def _make_room(self, size: int) -> None:
         if self.start == self.end:
--- a/onyxwick/net/fastcgi.py
+++ b/onyxwick/net/fastcgi.py
@@ -169,6 +169,12 @@
         """Is there something whose rest has not come?"""
         return bool(self.partial) or len(self.buffer) > 0
 
+    def one_call_waits(self) -> bool:
+        """Does what was received and not yet taken hold the beginning of one call at most?"""
+        begin = bytes((VERSION, BEGIN))
+        at = self.buffer.find(begin)
+        return at < 0 or self.buffer.find(begin, at + 1) < 0
+
     def messages(self) -> Iterator[Message]:
         buffer, unpack = self.buffer, HEADER.unpack_from
         while buffer.end - buffer.start >= 8:
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -13,9 +14,10 @@
 from onyxwick import logs
 from onyxwick.config.relay import SHUT_LEAST, SHUT_SHARE
 from onyxwick.core import Answer, Core, RequestLifecycle, Verdict
+from onyxwick.core.stall import STALL_S, StallWatch
 from onyxwick.counters import Counters
 from onyxwick.net import errors, fastcgi, room
-from onyxwick.net.buffer import ended, readable, unread
+from onyxwick.net.buffer import ended, readable, seconds_since_data, unread
 from onyxwick.net.calls import OwnerFields, answer_bytes, read_request
 from onyxwick.net.listening import BACKLOG
 from onyxwick.net.outbox import Outbox, Parcel, Tally
@@ -60,6 +62,9 @@
         self.deaf = False  # its records can't be told apart, or come without end: it is heard no more
         self.shut_at = 0.0  # when its end was written: what the client sends after it crossed the close
         self.calls = self.faults = 0
+        self.not_read_since = 0.0  # monotonic: while it is not read from, or waited to be accepted; else 0
+        self.poll = select.poll()
+        self.poll.register(sock, select.POLLIN | select.POLLRDHUP)
         self.born = self.used_at = self.half_since = time.monotonic()
 
     async def run(self) -> None:
@@ -92,11 +97,8 @@
         loop = asyncio.get_running_loop()
         while not self.ending and await self.parser.buffer.receive_late(loop, self.sock):
             faults = self.faults
-            try:
-                self._take()
-            except fastcgi.FramingError as error:
-                self._fault(str(error))
-                self._fail_all()
+            self._take_or_fail()
+            self.not_read_since = time.monotonic() if self._pauses(faults) else 0.0
             while self.outbox.pending > PAUSE_BYTES and not self.ending:
                 if await self._rest(self.outbox.drained.wait(), LOOK_S):
                     return
@@ -107,6 +109,33 @@
         if self.ending:
             await self._end()
 
+    def _pauses(self, faults: int) -> bool:
+        """Is nothing read for a while, after what was just taken?"""
+        return not self.ending and (self.outbox.pending > PAUSE_BYTES or self.faults > faults)
+
+    def wants(self, number: int) -> bool:
+        """Does the client still wait for the answer to this call, by what stands in its socket now?
+
+        Between two turns of the loop it may have closed, or sent an abort that nobody has read.
+        """
+        if number not in self.open or self.sock.fileno() < 0:
+            return False
+        for _, events in self.poll.poll(0):
+            if events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+                self._leave_all()
+                return False
+            self._receive_now()
+        return number in self.open
+
+    def _receive_now(self) -> None:
+        """Read and take in what stands in the socket, before the reader's turn."""
+        if self.ending:
+            self._hear()
+            return
+        with contextlib.suppress(OSError):  # the reader meets the same, and ends the connection
+            if self.parser.buffer.receive_now(self.sock):
+                self._take_or_fail()
+
     async def _rest(self, until: Awaitable[object], most_s: float) -> bool:
         """Read nothing until then, or for so long; True: the client has gone meanwhile, which must be
         noticed though nothing is read."""
@@ -122,9 +151,17 @@
         finally:
             waiting.cancel()
 
+    def _take_or_fail(self) -> None:
+        try:
+            self._take()
+        except fastcgi.FramingError as error:
+            self._fault(str(error))
+            self._fail_all()
+
     def _take(self) -> None:
         """Whatever is whole of what has come."""
         half, calls, self.used_at = self.parser.half, self.calls, time.monotonic()
+        self._unread_s = self._may_have_waited(self.used_at)
         for message in self.parser.messages():
             self._message(message)
             if self.deaf:
@@ -132,6 +169,17 @@
         if not half or self.calls > calls:
             self.half_since = self.used_at
 
+    def _may_have_waited(self, now: float) -> float:
+        """How many seconds what was just read may have stood in the socket."""
+        since = self.front.stalls.turn(now)
+        if self.not_read_since:
+            since = min(since, self.not_read_since)
+        if since >= now:
+            return 0.0
+        # The system knows when the last bytes came; with calls before them in one read that is not enough.
+        told = seconds_since_data(self.sock) if self.parser.one_call_waits() else None
+        return now - since if told is None else min(now - since, told)
+
     async def _end(self) -> None:
         """Answer what is open, write the end behind it, and read on to the client's own end, bounded: a close
         over unread bytes would take the last answer along."""
@@ -196,6 +244,7 @@
         self.ending = self.deaf = True
 
     answered: asyncio.Future[None] | None = None
+    _unread_s = 0.0  # how long what is being taken in may have stood in the socket
 
     def _send(self, number: int, data: bytes) -> None:
         self.parser.open.discard(number)
@@ -245,8 +294,9 @@
             return self._send(call.number, fastcgi.answer(call.number, "404 Not Found", {}, b""))
         try:
             front = self.front
-            now = front.core.now()
+            now = front.core.now() - int(self._unread_s * 1e6)
             request = read_request(call.params, call.body, now, front.classes, front.owner_fields)
+            request.is_wanted = partial(self.wants, call.number)
         except ValueError as error:
             self._fault(str(error))
             return self._send(call.number, fastcgi.answer(call.number, "400 Bad Request", {}, b""))
@@ -348,7 +398,10 @@
         self.most_clients, self.most_held = most_clients, most_held
         self.classes = {c.name: c for c in core.settings.classes}
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
-        self.tally = Tally()
+        self.tally, self.stalls = Tally(), StallWatch(time.monotonic())
+        self.accept_failing_since = (
+            0.0  # monotonic: connections that wait have not been accepted since; else 0
+        )
         self.shut: set[Client] = set()  # their end is written; they go as soon as the client closes its own
         self.given_up: set[Client] = set()  # no clients any more, but their sockets are not closed yet
         self.closing = False  # drained or leaving: each connection ends as soon as it owes nothing
@@ -388,6 +441,12 @@
                     self.counters.add("client.overstayed")
                     self._give_up(client, now)
 
+    async def watch_turns(self) -> None:
+        """Tell the watch that the loop turns, also while nobody asks."""
+        while True:
+            self.stalls.turn(time.monotonic())
+            await asyncio.sleep(STALL_S / 2)
+
     def _make_room(self) -> bool:
         """End the connection that is least missed (`room.order`) to make room for a newcomer."""
         now = time.monotonic()
@@ -426,6 +485,7 @@
             try:
                 self._admit(sock.accept()[0])
             except BlockingIOError:
+                self.accept_failing_since = 0.0
                 await readable(loop, sock)
                 continue
             except OSError as error:
@@ -463,6 +523,7 @@
         exhausted = errors.is_exhausted(error)
         self.counters.add("error.accept" if exhausted else "client.aborted")
         log.warning("accept failed", error=str(error))
+        self.accept_failing_since = self.accept_failing_since or time.monotonic()
         return ACCEPT_PAUSE_S if exhausted else 0.0
 
     def _admit(self, conn: socket.socket) -> None:
@@ -478,6 +539,7 @@
             return
         self.counters.add("client.accepted")
         client = Client(self, conn)
+        client.not_read_since = self.accept_failing_since
         task = asyncio.get_running_loop().create_task(client.run())
         self.clients[client] = task
         task.add_done_callback(partial(self._gone, client))
