--- a/onyxwick/door/server.py
+++ b/onyxwick/door/server.py
@@ -116,7 +116,7 @@
             return 200, self.director.figures()
         if call.kind in (Kind.DRAIN, Kind.UNDRAIN):
             self._order("", partial(o.drain, drained=call.kind is Kind.DRAIN))
-            return 200, {"drained": self.orders.drained, "kept": not self.unwritten}
+            return 200, {"drained": self.orders.drained, **self._unkept()}
         if call.cache not in self.known:
             self.counters.add("door.unknown")
             log.warning("a call for a cache never listed", cache=call.cache)
@@ -126,8 +126,11 @@
             self._order(call.cache, partial(change, cache=call.cache, now=now))
         except o.OrderError as error:
             raise HttpError(409, str(error)) from None
-        disabled = call.cache in self.orders.held
-        return 200, {"cache": call.cache, "disabled": disabled, "kept": not self.unwritten}
+        return 200, {"cache": call.cache, "disabled": call.cache in self.orders.held, **self._unkept()}
+
+    def _unkept(self) -> dict[str, bool]:
+        """Told beside the answer while the folder takes no write: a successor would not know of the call."""
+        return {"kept": False} if self.unwritten else {}
 
     def _order(self, what: str, change: o.Change) -> None:
         """A change that binds from now on: in this process at once, in the file as soon as the folder takes
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -38,7 +38,8 @@
     try:
         file.mkdir()  # in the way: a write fails, and so does a read
         (file / "x").touch()
-        assert " 200 " in _post("/caches/disable/c0")
+        answer = _post("/caches/disable/c0")
+        assert " 200 " in answer and '"kept":false' in answer
         time.sleep(0.3)
         (file / "x").unlink()
         file.rmdir()
