Reloads and starts wait out errors that pass; a bad row takes no other along; a moved feed is left

Causes: Director.reload and the start read the file once and took any OSError for a bad configuration; listening.listen and bind were tried once; read_members raised on the first bad row; _read_lines set the limit anew after move() had brought it forward, where both came in one turn of the loop. Caches._link leaves no empty list behind where no place is to be had.

--- a/onyxwick/cells/offline.py
+++ b/onyxwick/cells/offline.py
@@ -20,6 +20,10 @@
     return plan
 
 
+def _passed_over(text: str) -> None:
+    """A row that cannot be read says nothing here."""
+
+
 def _members(config: Path | None) -> tuple[list[i.Member], tuple[str | None, ...], str]:
     if config is None:
         return [], (None,), ""
@@ -31,7 +35,7 @@
     listed: dict[str, i.Member] = {}
     for event in told.known.get("updates") or ():
         if "endpoints" in event:
-            change, _ = read_members(event["endpoints"], FeedStamps(), steady_us())
+            change, _ = read_members(event["endpoints"], FeedStamps(), steady_us(), _passed_over)
             listed |= {m.address: m for m in change.members}
     kinds = (told.settings.parent_kind, told.settings.origin_kind)
     return [m for m in listed.values() if m.state is not i.State.GONE], kinds, told.settings.zone
--- a/onyxwick/config/relay.py
+++ b/onyxwick/config/relay.py
@@ -12,7 +12,7 @@
 
 from onyxwick import interface as i
 from onyxwick.config.address import read_address
-from onyxwick.config.errors import ConfigError
+from onyxwick.config.errors import ConfigError, unreadable
 from onyxwick.settings import Pairs, SettingError, read_settings
 
 BASE_MB = 32  # of memory, used by the program as it starts
@@ -120,7 +120,7 @@
     try:
         data = ujson.loads(Path(path).read_text())
     except OSError as error:
-        raise ConfigError(f"variable 'RELAY_CONFIG': {error}") from None
+        raise unreadable(error, "variable 'RELAY_CONFIG'") from None
     except ValueError as error:
         raise ConfigError(f"file of 'RELAY_CONFIG' is no JSON: {error}") from None
     if not isinstance(data, dict):
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Callable, Coroutine, Sequence
 from enum import Enum
 from pathlib import Path
@@ -19,6 +20,7 @@
 from onyxwick import logs
 from onyxwick.config import ConfigError, relay
 from onyxwick.config.address import written
+from onyxwick.config.errors import ConfigUnreadableError
 from onyxwick.config.relay import Config
 from onyxwick.core import Core
 from onyxwick.core.clock import steady_us
@@ -45,6 +47,8 @@
 GC_ALL_S = 10.0  # between full collections: ended connections leave cycles, which must not add up over a day
 
 
+RELOAD_RETRY_S, RELOAD_TRIES = 0.2, 50  # a file that cannot be read for a moment is read again
+START_RETRY_S, START_TRIES = 0.1, 50  # the same at the start
 AGAIN_S = 0.1  # before a task of the whole director goes on after an error in it
 FIGURES_S = 0.5  # between two takings of the figures that the operators' door shows
 FINISH_S = 1.5  # after SIGTERM and the door's close: how long connections still in use are left to come free
@@ -166,15 +170,25 @@
             # Before it serves: without a handler the signal would end the program.
             loop.add_signal_handler(signal.SIGUSR2, self.service.want_trace)
 
-    def reload(self) -> None:
-        """Read the configuration again, whole; one that cannot be used changes nothing.
+    def reload(self, tries: int = RELOAD_TRIES) -> None:
+        """Read the configuration again, whole; one that cannot be used changes nothing. One whose file cannot
+        be read for a moment is read a moment later.
 
         Only the coordinator and the plan of cells can change under way. Requests and attempts go on.
         """
+        if self.reloading is not None:
+            self.reloading.cancel()
         try:
             told, service = relay.load(), read_service() if self.service else None
             if self.service is not None:
                 self.service.reload(service.plan if service else None)
+        except ConfigUnreadableError as error:
+            self.counters.add("reload.unreadable")
+            log.warning("configuration not read yet", error=str(error), tries_left=tries)
+            if tries:
+                loop = asyncio.get_running_loop()
+                self.reloading = loop.call_later(RELOAD_RETRY_S, self.reload, tries - 1)
+            return
         except ConfigError as error:
             self.counters.add("reload.bad")
             log.error("configuration kept as it was", error=str(error))
@@ -287,6 +301,7 @@
         ready = sum(self.members.ready(member) for member in listed)
         return {"state": self.state.value, "ready": self.is_ready(), "members": len(listed), "up": ready}
 
+    reloading: asyncio.TimerHandle | None = None  # the next try of a reload that could not read its file
     early: Sequence[int] = ()  # signals to reload that came while the program started
     handed = False  # the listening socket is the platform's: a successor accepts on it already
 
@@ -330,7 +345,7 @@
     its exit code. `early` grows by each signal to reload until the director hears them itself."""
     logs.set_up()
     try:
-        told, service = relay.load(), read_service()
+        told, service = _load_patiently()
         handed = None if told.listen_fd is None else listening.held(told.listen_fd)
     except ConfigError as error:
         print(f"onyxwick: {error}", file=sys.stderr)
@@ -343,6 +358,17 @@
     return 0
 
 
+def _load_patiently() -> tuple[Config, ServiceConfig | None]:
+    """The configuration of a start; ConfigError where it cannot be used, or not be read for too long."""
+    for _ in range(START_TRIES):
+        try:
+            return relay.load(), read_service()
+        except ConfigUnreadableError as error:
+            log.warning("configuration not read yet", error=str(error))
+            time.sleep(START_RETRY_S)
+    return relay.load(), read_service()
+
+
 class Unusable(Exception):
     """What the program starts from cannot be used; the text says why."""
 
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -365,7 +365,7 @@
     def _link(self, order: Order, address: tuple[str, int]) -> Link:
         """An unused connection, a new one, or the least used."""
         member, request_id = order.member, order.request.id.encode()
-        links = self.links.setdefault(member, [])
+        links = self.links.get(member, [])
         fit = [link for link in links if link.takes(request_id)]
         least = min(fit, key=lambda link: len(link.calls), default=None)
         if least is not None and not least.calls:
@@ -376,7 +376,7 @@
             if self.count >= self.most_links + LINKS_OVER:
                 raise OSError("all places for connections to caches are taken")
             least = Link(self, member, address)
-            links.append(least)
+            self.links.setdefault(member, []).append(least)
             self.count += 1
         return least
 
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -34,31 +34,40 @@
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
 
+def _read_member(row: dict[str, Any], stamps: FeedStamps, now: int) -> i.Member:
+    name = str(row["id"])
+    return i.Member(
+        address=name,
+        zone=str(row.get("zone", "")),
+        kind=str(row.get("kind", "")),
+        cell=int(row.get("cell") or 0),
+        state=STATES[row["state"]],
+        weight=float(row.get("weight") or 0),
+        since_us=stamps.start(name, int(row.get("started_ms") or 0) * 1000, now),
+    )
+
+
 def read_members(
-    told: dict[str, Any], stamps: FeedStamps, now: int
+    told: dict[str, Any], stamps: FeedStamps, now: int, bad: Callable[[str], None]
 ) -> tuple[i.MembersChanged, dict[str, tuple[str, int]]]:
     """A change of the list, or all of it, with the addresses of all rows that are not gone. `now`: steady us.
 
-    KeyError, TypeError or ValueError where a row cannot be read.
+    A row that cannot be read is passed over and told to `bad`; KeyError, TypeError or ValueError where the
+    whole cannot be read.
     """
-    members, addresses = [], {}
+    members, addresses = list[i.Member](), dict[str, tuple[str, int]]()
     for row in told["servers"]:
-        state = STATES[row["state"]]
-        members.append(
-            i.Member(
-                address=str(row["id"]),
-                zone=str(row.get("zone", "")),
-                kind=str(row.get("kind", "")),
-                cell=int(row.get("cell") or 0),
-                state=state,
-                weight=float(row.get("weight") or 0),
-                since_us=stamps.start(str(row["id"]), int(row.get("started_ms") or 0) * 1000, now),
-            )
-        )
-        if state is i.State.GONE:
-            stamps.forget(str(row["id"]))
+        try:
+            member = _read_member(row, stamps, now)
+            address = None if member.state is i.State.GONE else read_address(row["addr"])
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
+            bad(f"row {str(row)[:64]}: {error!r}")
+            continue
+        members.append(member)
+        if address is None:
+            stamps.forget(member.address)
         else:
-            addresses[str(row["id"])] = read_address(row["addr"])
+            addresses[member.address] = address
     kind = i.ListKind.FULL if told.get("full") else i.ListKind.CHANGE
     if kind is i.ListKind.FULL:
         stamps.keep_only(set(addresses))
@@ -131,7 +140,7 @@
         """What an event asks for; KeyError, ValueError, TypeError or AttributeError: it cannot be read."""
         changes: list[Callable[[], None]] = []
         if "endpoints" in event:
-            read = read_members(event["endpoints"], self.stamps, self.core.now())
+            read = read_members(event["endpoints"], self.stamps, self.core.now(), self.bad)
             changes.append(partial(self.core.list_changed, *read))
         if "evict" in event:
             evict = event["evict"]
@@ -203,27 +212,34 @@
             await asyncio.sleep(self.backoff.next_delay_us(FIRST_RETRY_US) / 1e6)
 
     async def _follow_once(self) -> None:
-        loop, buffer = asyncio.get_running_loop(), Buffer()
+        loop, buffer, address = asyncio.get_running_loop(), Buffer(), self.address
         self.announced = 0
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.connect_patience:
                 async with asyncio.timeout(self.connect_patience.limit_s) as self.limit:
-                    await loop.sock_connect(sock, self.address)
+                    await loop.sock_connect(sock, address)
                     await loop.sock_sendall(sock, b"follow %d\n" % self.last)
             with self.first_byte_patience:
                 async with asyncio.timeout(self.first_byte_patience.limit_s) as self.limit:
                     await readable(loop, sock)
             async with asyncio.timeout(SILENT_S) as self.limit:
-                await self._read_lines(loop, sock, buffer, self.limit)
+                await self._read_lines(loop, sock, buffer, address, self.limit)
 
     async def _read_lines(
-        self, loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer, limit: asyncio.Timeout
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        buffer: Buffer,
+        address: tuple[str, int],
+        limit: asyncio.Timeout,
     ) -> None:
         """Take in line after line; any bytes are progress, as a whole list may come slowly."""
         line_began = loop.time()
         while await buffer.receive(loop, sock):
+            if address != self.address:
+                raise OSError("the feed has moved")
             if not limit.expired():
                 limit.reschedule(loop.time() + SILENT_S)
             while (end := buffer.find(b"\n")) >= 0:
--- a/onyxwick/net/director_feed.py
+++ b/onyxwick/net/director_feed.py
@@ -83,12 +83,16 @@
         elif isinstance(payload, CacheListChange):
             rows = [row.fields for row in payload.rows]
             changed = {"servers": rows, "full": payload.full, "version": payload.version}
-            self.core.list_changed(*read_members(changed, self.stamps, self.core.now()))
+            self.core.list_changed(*read_members(changed, self.stamps, self.core.now(), self._bad_row))
         elif isinstance(payload, DocumentPart):
             self._document_part(payload)
         else:
             raise ValueError(payload.detail)
 
+    def _bad_row(self, text: str) -> None:
+        self.counters.add("bad.distribution")
+        log.warning("bad row of the feed", detail=text)
+
     def _purge(self, purge: PurgeEvent) -> None:
         if self.purges.add(purge):
             group = -1 if purge.key.shard is None else purge.key.shard
--- a/onyxwick/net/listening.py
+++ b/onyxwick/net/listening.py
@@ -3,20 +3,42 @@
 from __future__ import annotations
 
 import socket
+import time
 
 from onyxwick.config import ConfigError
+from onyxwick.net import errors
 
 BACKLOG = 1024
 """Connections that wait to be accepted."""
 
 
+PATIENCE_S, RETRY_S = 3.0, 0.05
+"""How long a start waits for an address that cannot be listened on yet, and between two tries."""
+
+
 def listen(address: tuple[str, int]) -> socket.socket:
-    """A listening socket on an address; OSError where it cannot be listened on."""
+    """A listening socket on an address; OSError where it cannot be listened on. Blocks for `PATIENCE_S` at
+    most: nothing is served yet, and errors of this machine pass (net/errors.py)."""
+    end = time.monotonic() + PATIENCE_S
+    while True:
+        try:
+            return _listen_now(address)
+        except OSError as error:
+            if not errors.is_local(error) or time.monotonic() > end:
+                raise
+            time.sleep(RETRY_S)
+
+
+def _listen_now(address: tuple[str, int]) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.listen(BACKLOG)
-    sock.setblocking(False)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
