Invariants: twelve rules checked at run time, and one counted reason for each refusal and end

Change: core/invariants.py, free of I/O, fed where attempts begin (the writer, as the first byte goes out), end, are answered, where connections close, lists and purges come and the operators' file is written; it goes by what it was told alone, counts under violation.RULE, logs ids and cause and changes nothing. core/reasons.py: refused.REASON, ended.client.REASON, ended.cache.REASON, again.STATUS, logged with request and connection.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -12,8 +12,10 @@
 from onyxwick import interface as i
 from onyxwick import logs
 from onyxwick.core.clock import steady_us
+from onyxwick.core.invariants import AttemptBegun, Invariants, Violation
 from onyxwick.core.members import Members
 from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
+from onyxwick.core.reasons import Refusal
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
 
@@ -88,6 +90,7 @@
     attempts: list[asyncio.Task[Outcome] | None] = field(default_factory=list)  # None: has ended
     # When each attempt was ordered, in steady us; 0: it is proved that it never ran.
     ordered_at: list[int] = field(default_factory=list)
+    ends: list[i.Status | None] = field(default_factory=list)  # how each attempt ended; None: it is out
     client_departed: bool = False  # its client has left
     answered: bool = False  # it has its final answer
     intended: bool = False  # that it will be sent is durable
@@ -126,6 +129,7 @@
         self.kinds = {c.name: c for c in settings.classes}
         self.writes = {c.name for c in settings.classes if c.write}
         self.once = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
+        self.invariants = Invariants(settings, self._violated, self._work_us)
         self.router = decide(settings, seed, self.now())
         self.handle()
 
@@ -134,6 +138,22 @@
         self.latest = max(self.latest, self.clock())
         return self.latest
 
+    def _violated(self, violation: Violation) -> None:
+        self.counters.add(f"violation.{violation.rule.value}")
+        log.error(
+            "invariant violated", rule=violation.rule.value, cause=violation.cause, request=violation.request,
+            attempt=violation.attempt, connection=violation.connection, member=violation.member,
+        )  # fmt: skip
+
+    def _work_us(self) -> dict[str, float]:
+        """Mean sending times by class, as the module has learned them; none where many routers decide."""
+        return {name: work.mean for name, work in getattr(self.router, "work", {}).items()}
+
+    def refused(self, reason: Refusal, request: str, connection: int = -1) -> None:
+        """A request ends with no answer of a cache's, for this reason."""
+        self.counters.add(f"refused.{reason.value}")
+        log.info("request refused", reason=reason.value, request=request, connection=connection)
+
     # ---- events in, actions out -------------------------------------------------------------------------
 
     def handle(self, *events: i.Event) -> None:
@@ -189,6 +209,7 @@
             event = self.durable.recovery.seen(event)
         if self.adjust_list is not None:
             event = self.adjust_list(event, self.now())
+        self.invariants.list_changed(event, self.now())
         self.members.apply(event, addresses)
         self.handle(event)
 
@@ -207,6 +228,7 @@
         """Take in what lasted: purges that a cache may not have done bind the first request already."""
         self.durable = durable
         for purge in durable.recovery.purges_to_tell(self.now()):
+            self.invariants.purged(purge.group, purge.object, self.now() - purge.age_us, self.now())
             self.members.purged(purge.group, purge.object, self.now())
             self.handle(purge)
 
@@ -221,6 +243,7 @@
         """A purge of the object `name`, or without one of the group, was received; made at `at_us`."""
         if self.durable is not None:
             self.durable.purge_told(group, name, at_us, self.now())
+        self.invariants.purged(group, name, at_us, self.now())
         self.members.purged(group, name, self.now())
         self.handle(i.Purged(group, name, max(0, self.now() - at_us)))
 
@@ -250,16 +273,22 @@
         if request.id in self.lifecycles or len(self.lifecycles) >= self.most_open:
             known = request.id in self.lifecycles
             self.counters.add("answer.duplicate" if known else "answer.overloaded")
+            self.refused(Refusal.DUPLICATE_ID if known else Refusal.TOO_MANY_OPEN, request.id)
             reply(Answer(Verdict.FAILED if known else Verdict.REFUSED))
             return None
         once = self.durable is not None and request.class_name in self.once
         if once and self.durable is not None and not self.durable.recovery.may_send(request.id):
             # An attempt of it was under way when this director ended: it may have run.
             self.counters.add("answer.may_have_run")
+            self.refused(Refusal.MAY_HAVE_RUN, request.id)
             reply(Answer(Verdict.FAILED))
             return None
         lifecycle = RequestLifecycle(request, transport=transport)
         self.lifecycles[request.id] = lifecycle
+        self.invariants.request_started(
+            request.id, request.class_name, request.group, request.object,
+            request.arrived_us + request.timeout_us,
+        )  # fmt: skip
         self.idle.clear()
         return lifecycle
 
@@ -273,11 +302,13 @@
                 # One request's error is that request's failure, never the process's end.
                 self.counters.add("error.request")
                 log.exception("error in a request", request=request.id)
+                self.refused(Refusal.ERROR, request.id)
                 answer = Answer(Verdict.FAILED)
                 self._forget(request.id)
             lifecycle.answered = True
             if answer is not None and not lifecycle.client_departed:
                 self.counters.add(f"answer.{answer.verdict.value}.{request.class_name}")
+                self.invariants.answered(request.id, self.now())
                 reply(answer)
             if self.watch is not None:
                 self.watch.answered(self.now(), request.id, None if lifecycle.client_departed else answer)
@@ -285,6 +316,7 @@
             if lifecycle.intended and self.durable is not None:
                 await self.durable.ended(request.id)
         finally:
+            self.invariants.request_ended(request.id)
             del self.lifecycles[request.id]
             if not self.lifecycles:
                 self.idle.set()
@@ -301,8 +333,27 @@
         """The client of a request has left: it is owed no answer."""
         if not lifecycle.client_departed:
             lifecycle.client_departed = True
+            self.invariants.client_departed(lifecycle.request.id, self.now())
             lifecycle.mailbox.put(ClientDeparted())
 
+    def _without_server(self, request: Request, end: i.Refuse | i.Fail | ClientDeparted) -> Answer | None:
+        """The final answer of a request that no server gave; None if its client has left."""
+        match end:
+            case i.Refuse(_, after):
+                self.refused(Refusal.NO_SERVER, request.id)
+                return Answer(Verdict.REFUSED, retry_after_us=after)
+            case i.Fail():
+                self.refused(Refusal.FAILED, request.id)
+                return Answer(Verdict.FAILED)
+            case ClientDeparted(overdue=False):
+                self.counters.add("request.left")
+                self.handle(i.ClientLeft(request.id))
+                return None
+        self.counters.add("request.overdue")
+        self.handle(i.ClientLeft(request.id))
+        self.refused(Refusal.OVERDUE, request.id)
+        return Answer(Verdict.FAILED)
+
     async def _decide(self, lifecycle: RequestLifecycle) -> Answer | None:
         """From arrival to the one final answer; None if the client left before it."""
         request = lifecycle.request
@@ -331,14 +382,8 @@
                                 outcome.unchanged,
                                 member=mail.member,
                             )
-                    case i.Refuse(_, after):
-                        return Answer(Verdict.REFUSED, retry_after_us=after)
-                    case i.Fail():
-                        return Answer(Verdict.FAILED)
-                    case ClientDeparted(late):
-                        self.counters.add("request.overdue" if late else "request.left")
-                        self.handle(i.ClientLeft(request.id))
-                        return Answer(Verdict.FAILED) if late else None
+                    case i.Refuse() | i.Fail() | ClientDeparted():
+                        return self._without_server(request, mail)
         finally:
             overdue.cancel()
 
@@ -360,6 +405,7 @@
             match mail := await lifecycle.mailbox.get():
                 case Decided(action):
                     lifecycle.attempts.append(None)
+                    lifecycle.ends.append(i.Status.NOT_SENT)
                     lifecycle.ordered_at.append(0)
                     number = len(lifecycle.attempts) - 1
                     self._report(
@@ -391,13 +437,30 @@
     def _start(self, lifecycle: RequestLifecycle, decided: Decided) -> None:
         number, begun = len(lifecycle.attempts), self.now()
         order = self._order(lifecycle, decided, number)
+        order.begun = partial(self._begun, number)
+        if number:
+            self._count_again(lifecycle, number)
         lifecycle.ordered_at.append(begun)
         task = asyncio.get_running_loop().create_task((lifecycle.transport or self.transport).run(order))
         lifecycle.attempts.append(task)
+        lifecycle.ends.append(None)
         self.counters.add("attempt.sent")
         # Not an await around `run`: a task cancelled before its first step would leave no outcome.
         task.add_done_callback(partial(self._ended, lifecycle, order, number, begun))
 
+    def _begun(self, number: int, order: Order) -> None:
+        begun = AttemptBegun(
+            order.request.id, number, order.member, order.source, order.max_age_us, order.left_us()
+        )
+        self.invariants.attempt_begun(begun, self.now())
+
+    def _count_again(self, lifecycle: RequestLifecycle, number: int) -> None:
+        """Why there is one more attempt: how the one before ended, or that it is overdue."""
+        before = lifecycle.ends[number - 1] if number <= len(lifecycle.ends) else None
+        reason = "overdue" if before is None else before.value
+        self.counters.add(f"again.{reason}")
+        log.info("attempt again", request=lifecycle.request.id, attempt=number, after=reason)
+
     def may_send(
         self, lifecycle: RequestLifecycle, number: int, member: str, source: str | None, decided: int
     ) -> bool:
@@ -459,6 +522,8 @@
             outcome = Outcome(i.Status.ERROR)
         else:
             outcome = task.result()
+        lifecycle.ends[number] = outcome.status
+        self.invariants.attempt_ended(lifecycle.request.id, number, outcome.status.proves_unrun)
         if outcome.status.proves_unrun:
             lifecycle.ordered_at[number] = 0
         lifecycle.mailbox.put(
--- a/onyxwick/core/model.py
+++ b/onyxwick/core/model.py
@@ -67,6 +67,8 @@
     alone: bool = False  # must not run twice: it is to share its fate with no other attempt
     is_still_valid: Callable[[], bool] = field(default=lambda: True, compare=False)
     """Asked right before the first byte: drains and purges told of meanwhile hold for this send too."""
+    begun: Callable[[Order], None] = field(default=lambda order: None, compare=False)
+    """Called as its first byte has gone out, whenever that is."""
     ordered_at: float = field(default_factory=time.monotonic, compare=False)
     sent_us: int = 0  # steady us at which its first byte went out, once the transport knows; 0: not sent
 
--- a/onyxwick/door/bridge.py
+++ b/onyxwick/door/bridge.py
@@ -76,6 +76,11 @@
         if self.loop is not None:
             self.loop.call_soon_threadsafe(self._take_up, known)
 
+    def written(self, ordered: int, written: int) -> None:
+        """The file holds this version of what was ordered."""
+        if self.loop is not None:
+            self.loop.call_soon_threadsafe(self.core.invariants.commands_written, ordered, written)
+
     # ---- in the director's loop ----------------------------------------------------------------------------
 
     def _take_up(self, known: list[str]) -> None:
--- a/onyxwick/door/lasting.py
+++ b/onyxwick/door/lasting.py
@@ -75,10 +75,12 @@
         back = tuple((name, min(now, max(at, at + shift))) for name, at in orders.back)
         return replace(orders, back=back)
 
-    def write(self, orders: Orders, known: Known) -> None:
-        """The orders whole, in place of what was there; OSError where the folder takes nothing."""
+    def write(self, orders: Orders, known: Known) -> int:
+        """The orders whole, in place of what was there; the version that stands there now. OSError where the
+        folder takes nothing."""
         draft = self.path.with_name(f".{self.path.name}.{os.getpid()}")
         clock = {"boot": boot_id(), "offset": self.clock.offset_us}
         draft.write_text(ujson.dumps({**to_json(orders, known), "clock": clock}))
         os.replace(draft, self.path)
         self.seen = self._stamp()
+        return of_json(ujson.loads(self.path.read_bytes()))[0].version
--- a/onyxwick/door/server.py
+++ b/onyxwick/door/server.py
@@ -41,6 +41,8 @@
 
     def ordered(self, orders: o.Orders, known: list[str]) -> None: ...
 
+    def written(self, ordered: int, written: int) -> None: ...
+
 
 Answer = tuple[int, object]
 
@@ -155,8 +157,9 @@
         try:
             self._take_over(self.lasting)
             if self.unwritten:
-                self.lasting.write(self.orders, self.known)
+                written = self.lasting.write(self.orders, self.known)
                 self.unwritten.clear()
+                self.director.written(self.orders.version, written)
         except OSError as error:
             self.counters.add("door.unsaved" if self.unwritten else "door.unreadable")
             log.warning("the door's file fails, and is tried again", error=str(error))
--- a/onyxwick/net/caches.py
+++ b/onyxwick/net/caches.py
@@ -15,6 +15,7 @@
 from onyxwick.core.clock import steady_us
 from onyxwick.core.members import Members
 from onyxwick.core.model import Order, Outcome
+from onyxwick.core.reasons import ConnectionEnd
 from onyxwick.counters import Counters
 from onyxwick.net import errors, resp
 from onyxwick.net.buffer import unread
@@ -156,11 +157,12 @@
         self.heard_at = self.used_at = time.monotonic()
         self.sock: socket.socket | None = None
         self.outbox = Outbox(None, caches.tally)
+        self.end: ConnectionEnd | None = None  # why it was ended here; None: the other side's close
         self.task = asyncio.get_running_loop().create_task(self._run())
 
-    def drop(self) -> None:
+    def drop(self, reason: ConnectionEnd) -> None:
         """Close it; from now on it takes nothing new."""
-        self.retired = True
+        self.retired, self.end = True, self.end or reason
         self.task.cancel()
 
     def takes(self, request_id: bytes) -> bool:
@@ -178,6 +180,7 @@
             lambda: self._dropped(call),
             render=lambda: request_bytes(order),
             size=COMMAND_BYTES + len(order.request.body),
+            begun=lambda: order.begun(order),
         )
         self.calls[request_id] = call
         self.used_at = now
@@ -218,9 +221,11 @@
             sock = await self._connect()
             self.up, failed = True, i.Status.RESET
             await self._talk(sock)
-        except (OSError, TimeoutError):
-            pass  # told to the attempts below
+        except (OSError, TimeoutError):  # told to the attempts below
+            here = ConnectionEnd.CONNECT_FAILED_HERE if self.kept_back else ConnectionEnd.CONNECT_FAILED
+            self.end = self.end or (ConnectionEnd.BROKEN if self.up else here)
         except resp.RespError as error:
+            self.end = ConnectionEnd.BAD_ANSWER
             self.caches.counters.add("bad.resp")
             log.warning("connection closed", member=self.member, error=str(error))
         finally:
@@ -312,6 +317,11 @@
         if self.sock is not None:
             self.sock.close()
         self.caches.forget(self)
+        reason = (self.end or ConnectionEnd.CLOSED_BY_PEER).value
+        self.caches.counters.add(f"ended.cache.{reason}")
+        if self.calls:
+            requests = [call.id.decode() for call in list(self.calls.values())[:8]]
+            log.info("connection with calls ended", member=self.member, reason=reason, requests=requests)
         calls, self.calls = self.calls, {}
         for call in calls.values():
             unsent = call.parcel.progress in (Progress.WAITING, Progress.DROPPED)
@@ -388,7 +398,7 @@
     def _close_idle(self) -> None:
         idle = [link for links in self.links.values() for link in links if not link.calls]
         if idle:
-            min(idle, key=lambda link: link.used_at).drop()
+            min(idle, key=lambda link: link.used_at).drop(ConnectionEnd.PLACE_NEEDED)
 
     def forget(self, link: Link) -> None:
         links = self.links.get(link.member, [])
@@ -403,7 +413,7 @@
         for link in self.links.get(member, []):
             link.retired = True
             if not link.calls:
-                link.drop()
+                link.drop(ConnectionEnd.RETIRED)
 
     async def sweep(self) -> None:
         """Close what is idle, or retired and empty."""
@@ -415,15 +425,16 @@
                 for link in links:
                     if link.stuck(now):
                         self.counters.add("bad.stuck")
-                        link.drop()
+                        link.drop(ConnectionEnd.ANSWER_STUCK)
                     if link.outbox.stalled(now, STALLED_S):
-                        link.drop()
+                        link.drop(ConnectionEnd.STALLED)
                     if not link.calls and not link.outbox.pending and (link.retired or link.used_at < before):
-                        link.drop()
+                        link.drop(ConnectionEnd.RETIRED if link.retired else ConnectionEnd.IDLE)
 
     async def close(self) -> None:
-        tasks = [link.task for links in self.links.values() for link in links]
-        for task in tasks:
-            task.cancel()
+        links = [link for links in self.links.values() for link in links]
+        for link in links:
+            link.drop(ConnectionEnd.CLOSING)
+        tasks = [link.task for link in links]
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.gather(*tasks, return_exceptions=True)
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import select
 import socket
 import time
@@ -13,7 +14,8 @@
 
 from onyxwick import logs
 from onyxwick.config.relay import SHUT_LEAST, SHUT_SHARE
-from onyxwick.core import Answer, Core, RequestLifecycle, Verdict
+from onyxwick.core import Answer, Core, Request, RequestLifecycle, Verdict
+from onyxwick.core.reasons import ConnectionEnd, Refusal
 from onyxwick.core.stall import STALL_S, StallWatch
 from onyxwick.counters import Counters
 from onyxwick.net import errors, fastcgi, room
@@ -45,6 +47,11 @@
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
 FIRST_CALL_S = 1.0  # a connection that has just come keeps its place so long while the front closes
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
+BY_CLIENT = {
+    ConnectionEnd.CLOSED_BY_PEER,
+    ConnectionEnd.BROKEN,
+    ConnectionEnd.STALLED,
+}  # whose own doing it is
 ACCEPT_REST_S = 1.0  # for who waits to be accepted at the end, where accept fails meanwhile
 ACCEPT_REST_MOST = 4 * BACKLOG  # accepted then at most: clients may go on coming
 
@@ -61,6 +68,8 @@
         self.ending = False  # to be closed when all that is open on it is answered
         self.deaf = False  # its records can't be told apart, or come without end: it is heard no more
         self.shut_at = 0.0  # when its end was written: what the client sends after it crossed the close
+        self.end: ConnectionEnd | None = None  # why it ends; None: the client has closed
+        self.number = front.next_connection()
         self.calls = self.faults = 0
         self.not_read_since = 0.0  # monotonic: while it is not read from, or waited to be accepted; else 0
         self.poll = select.poll()
@@ -76,6 +85,7 @@
                 task.result()
         except OSError:
             self.front.counters.add("client.broken")
+            self.end = self.end or ConnectionEnd.BROKEN
         finally:
             writer.cancel()
             reader.cancel()
@@ -83,10 +93,25 @@
             self.ending = True  # closed: nobody need look at its socket, or make room by it, any more
             self.sock.close()
             self.outbox.close()
+            self._tell_end()
             if self.cell is not None and self.front.holding is not None:
                 self.front.holding.disconnect(self.cell)
             self._leave_all()
 
+    def end_with(self, reason: ConnectionEnd) -> None:
+        """It is to end, for this reason: the first one told holds."""
+        self.ending, self.end = True, self.end or reason
+
+    def _tell_end(self) -> None:
+        reason = self.end or ConnectionEnd.CLOSED_BY_PEER
+        self.front.counters.add(f"ended.client.{reason.value}")
+        owed = [lifecycle.request.id for lifecycle in self.open.values() if lifecycle is not None]
+        self.front.core.invariants.connection_closed(self.number, len(owed), reason in BY_CLIENT)
+        if owed:
+            log.info(
+                "connection closed owing", connection=self.number, reason=reason.value, requests=owed[:8]
+            )
+
     def _leave_all(self) -> None:
         lives, self.open = self.open, {}
         for lifecycle in lives.values():
@@ -227,12 +252,14 @@
                 if fault:
                     self._fault(fault)
                 self.deaf |= last
-                self.ending |= last
+                if last:
+                    self.end_with(ConnectionEnd.BAD_INPUT)
 
     def _fault(self, text: str) -> None:
         self.front.bad(text)
         self.faults += 1
-        self.ending |= self.faults >= FAULTS
+        if self.faults >= FAULTS:
+            self.end_with(ConnectionEnd.BAD_INPUT)
 
     def _fail_all(self) -> None:
         """The records can't be told apart any more: what is open is answered, and the connection ends."""
@@ -241,7 +268,8 @@
         for number in numbers:
             self._send(number, fastcgi.answer(number, "400 Bad Request", {}, b""))
         self.parser.partial.clear()
-        self.ending = self.deaf = True
+        self.deaf = True
+        self.end_with(ConnectionEnd.BAD_INPUT)
 
     answered: asyncio.Future[None] | None = None
     _unread_s = 0.0  # how long what is being taken in may have stood in the socket
@@ -265,12 +293,13 @@
             release()
         now = time.monotonic()
         if self.front.closing and self.may_end(now):
-            self.close_softly(now)
+            self.close_softly(now, ConnectionEnd.CLOSING)
 
-    def close_softly(self, now: float) -> None:
+    def close_softly(self, now: float, reason: ConnectionEnd) -> None:
         """End a connection that owes nothing: its end is written, and what still comes is read and passed
         over, so that no reset takes the last answer along. The client sends what crossed the close again."""
-        self.ending, self.shut_at = True, now
+        self.end_with(reason)
+        self.shut_at = now
         self.front.shut.add(self)
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
@@ -281,41 +310,61 @@
             return
         if self.ending:  # it has come before the end was written: it is owed an answer, and no more
             self.front.counters.add("answer.ending")
+            self._refused(call, Refusal.CONNECTION_ENDING)
             return self._send(call.number, fastcgi.end_request(call.number, fastcgi.Protocol.OVERLOADED))
-        self.ending |= not call.keep
+        if not call.keep:
+            self.end_with(ConnectionEnd.NOT_KEPT)
         name = call.params.get(b"SCRIPT_NAME", b"")
         if name == b"/ping":
-            up = self.front.ready()
-            return self._send(
-                call.number, fastcgi.answer(call.number, "200 OK" if up else "503 Not Ready", {}, b"")
-            )
+            status = "200 OK" if self.front.ready() else "503 Not Ready"
+            return self._send(call.number, fastcgi.answer(call.number, status, {}, b""))
         if not name.startswith(b"/call/"):
-            self._fault(f"path {name[:64]!r}")
-            return self._send(call.number, fastcgi.answer(call.number, "404 Not Found", {}, b""))
+            return self._bad_call(call, f"path {name[:64]!r}", "404 Not Found")
         try:
-            front = self.front
-            now = front.core.now() - int(self._unread_s * 1e6)
-            request = read_request(call.params, call.body, now, front.classes, front.owner_fields)
-            request.is_wanted = partial(self.wants, call.number)
+            request = self._read_call(call)
         except ValueError as error:
-            self._fault(str(error))
-            return self._send(call.number, fastcgi.answer(call.number, "400 Bad Request", {}, b""))
-        if self.front.passing_on:
+            return self._bad_call(call, str(error), "400 Bad Request")
+        return self._take_in(call, request)
+
+    def _read_call(self, call: fastcgi.Call) -> Request:
+        front = self.front
+        arrived = front.core.now() - int(self._unread_s * 1e6)
+        request = read_request(call.params, call.body, arrived, front.classes, front.owner_fields)
+        request.is_wanted = partial(self.wants, call.number)
+        return request
+
+    def _take_in(self, call: fastcgi.Call, request: Request) -> None:
+        """Start a request, or refuse it where it can't be let in."""
+        front = self.front
+        if front.passing_on:
             # The connection is to end and would never come free: the client tries again, on a new one.
-            self.front.counters.add("answer.passed_on")
-            answer = Answer(Verdict.REFUSED, retry_after_us=self.front.passed_on_us)
+            front.counters.add("answer.passed_on")
+            self._refused(call, Refusal.PASSED_ON)
+            answer = Answer(Verdict.REFUSED, retry_after_us=front.passed_on_us)
             return self._send(call.number, answer_bytes(call.number, answer))
-        if self.front.tally.held > self.front.most_held:
-            self.front.counters.add("answer.overloaded")
+        if front.tally.held > front.most_held:
+            front.counters.add("answer.overloaded")
+            self._refused(call, Refusal.UNREAD_ANSWERS)
             return self._send(call.number, fastcgi.end_request(call.number, fastcgi.Protocol.OVERLOADED))
-        if self.front.holding is not None and not self._placed(self.front.holding, request.tenant):
-            self.front.counters.add("answer.cell_full")
-            answer = Answer(Verdict.REFUSED, retry_after_us=self.front.retry_us)
+        if front.holding is not None and not self._placed(front.holding, request.tenant):
+            front.counters.add("answer.cell_full")
+            self._refused(call, Refusal.CELL_FULL)
+            answer = Answer(Verdict.REFUSED, retry_after_us=front.retry_us)
             return self._send(call.number, answer_bytes(call.number, answer))
         self.open[call.number] = None
-        lifecycle = self.front.core.start(request, partial(self._answer, call.number))
+        lifecycle = front.core.start(request, partial(self._answer, call.number))
         if lifecycle is not None:
             self.open[call.number] = lifecycle
+        return None
+
+    def _refused(self, call: fastcgi.Call, reason: Refusal) -> None:
+        name = call.params.get(b"HTTP_X_REQUEST_ID", b"")[:16].decode("latin-1")
+        self.front.core.refused(reason, name, self.number)
+
+    def _bad_call(self, call: fastcgi.Call, text: str, status: str) -> None:
+        self._refused(call, Refusal.BAD_INPUT)
+        self._fault(text)
+        self._send(call.number, fastcgi.answer(call.number, status, {}, b""))
 
     def _placed(self, holding: Holding, tenant: str | None) -> bool:
         """Is there room in its cell's part for this connection and for one more unread answer?
@@ -327,7 +376,7 @@
             return True
         if self.cell is None:
             if not holding.connect(cell):
-                self.ending = True
+                self.end_with(ConnectionEnd.PLACE_NEEDED)
                 return False
             self.cell = cell
         return not holding.full(self.cell)
@@ -398,6 +447,7 @@
         self.most_clients, self.most_held = most_clients, most_held
         self.classes = {c.name: c for c in core.settings.classes}
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
+        self.next_connection = partial(next, itertools.count(1))  # numbers of connections, for the logs
         self.tally, self.stalls = Tally(), StallWatch(time.monotonic())
         self.accept_failing_since = (
             0.0  # monotonic: connections that wait have not been accepted since; else 0
@@ -418,7 +468,7 @@
         now = time.monotonic()
         for client in list(self.clients):
             if client.may_end(now):
-                client.close_softly(now)
+                client.close_softly(now, ConnectionEnd.CLOSING)
 
     def bad(self, text: str) -> None:
         self.counters.add("bad.client")
@@ -436,10 +486,11 @@
                     task.cancel()  # its end was written, and the client does not close its own
                 elif client.outbox.stalled(now, STALLED_S):
                     self.counters.add("client.stalled")
+                    client.end = client.end or ConnectionEnd.STALLED
                     task.cancel()
                 elif client.overstays(now):
                     self.counters.add("client.overstayed")
-                    self._give_up(client, now)
+                    self._give_up(client, now, ConnectionEnd.IDLE)
 
     async def watch_turns(self) -> None:
         """Tell the watch that the loop turns, also while nobody asks."""
@@ -456,14 +507,14 @@
         if least is None:
             return False
         self.counters.add("client.displaced")
-        self._give_up(least, now)
+        self._give_up(least, now, ConnectionEnd.DISPLACED)
         return True
 
-    def _give_up(self, client: Client, now: float) -> None:
+    def _give_up(self, client: Client, now: float, reason: ConnectionEnd) -> None:
         """End a connection that owes nothing and has nothing unread: softly, as far as there are places for
         such as linger, else at once, behind its written end."""
         full = len(self.shut) >= max(SHUT_LEAST, self.most_clients // SHUT_SHARE)
-        client.close_softly(now)
+        client.close_softly(now, reason)
         if full:
             self.shut.discard(client)
             self.given_up.add(client)
@@ -569,10 +620,11 @@
         while self.clients and time.monotonic() < end:  # the sweep cuts off who does not end its side
             for client in list(self.clients):
                 if not client.shut_at and not client.open and not client.outbox.pending:
-                    client.close_softly(time.monotonic())
+                    client.close_softly(time.monotonic(), ConnectionEnd.CLOSING)
             await asyncio.sleep(READ_S)
         tasks = list(self.clients.values())
-        for task in tasks:
+        for client, task in list(self.clients.items()):
+            client.end = client.end or ConnectionEnd.CLOSING
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         log.info("ended", crossed=self.counters.counts["client.crossed"])
--- a/onyxwick/net/outbox.py
+++ b/onyxwick/net/outbox.py
@@ -26,7 +26,7 @@
     time left holds then. `size` is a guess before.
     """
 
-    __slots__ = ("begun_at", "check", "data", "dropped", "progress", "release", "render", "size")
+    __slots__ = ("begun", "begun_at", "check", "data", "dropped", "progress", "release", "render", "size")
 
     def __init__(
         self,
@@ -36,10 +36,12 @@
         release: Callable[[], None] | None = None,
         render: Callable[[], bytes] | None = None,
         size: int = 0,
+        begun: Callable[[], None] | None = None,
     ) -> None:
         self.data, self.check, self.dropped, self.render = data, check, dropped, render
         self.size = size or len(data)  # that it counts as waiting
         self.begun_at = 0.0  # monotonic seconds at which its first byte was written
+        self.begun = begun  # called once, when its first bytes have gone out
         self.release = release  # called once, when its bytes are held no more
         self.progress = Progress.WAITING
 
@@ -50,6 +52,12 @@
         release()
 
 
+def _begin(parcel: Parcel) -> None:
+    if parcel.begun is not None:
+        begun, parcel.begun = parcel.begun, None
+        begun()
+
+
 class Tally:
     """Bytes waiting to be written, over all connections that share it."""
 
@@ -163,6 +171,8 @@
         back = list[Parcel]()
         for parcel in batch:
             size = len(parcel.data)
+            if written > 0:
+                _begin(parcel)
             if written >= size:
                 self._finish(parcel, Progress.WRITTEN)
             elif written > 0:
@@ -178,6 +188,7 @@
     def _written(self) -> None:
         batch, self.batch = self.batch, []
         for parcel in batch:
+            _begin(parcel)
             self._finish(parcel, Progress.WRITTEN)
 
     def _finish(self, parcel: Parcel, progress: Progress) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,6 +19,7 @@
 from onyxwick.core import Answer, Verdict
 from onyxwick.core.clock import steady_us
 from onyxwick.core.model import Order, Outcome
+from onyxwick.core.reasons import ConnectionEnd
 from onyxwick.net import caches, coordinator, fastcgi, front, resp, room
 from onyxwick.net.coordinator import Coordinator
 from onyxwick.net.outbox import Outbox, Parcel, Tally
@@ -606,7 +607,9 @@
         await ground.read(sock, b"200 OK")
         ((client, _),) = ground.front.clients.items()
         sock.send(call(2))
-        client.close_softly(1.0)  # in the same turn: the call is in the socket and not read
+        client.close_softly(
+            1.0, ConnectionEnd.IDLE
+        )  # in the same turn: the call is in the socket and not read
         await ground.until(lambda: ground.counters.counts["client.crossed"])
         assert not ground.core.lifecycles and not ground.script.events
 
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,208 @@
+"""Each run-time check fires on a planted breach of its rule, and on no sound run beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from onyxwick import interface as i
+from onyxwick.core.invariants import AttemptBegun, Invariants, Rule, Violation, budget
+from tests.ground import FOUND, Ground, ask, call, played
+from tests.world import SETTINGS, member
+
+S = 1_000_000
+NOW = 1_000 * S
+
+
+class Checked:
+    """Checks over three caches and one request of a class, whose first attempt is `begin`."""
+
+    def __init__(self, kind: str = "chunk") -> None:
+        self.found: list[Violation] = []
+        work = {c.name: 100_000.0 for c in SETTINGS.classes}
+        self.checks = Invariants(SETTINGS, self.found.append, lambda: work)
+        self.members(*(member(f"c{n}") for n in range(3)))
+        self.checks.request_started("r1", kind, 17, "o1", NOW + 2 * S)
+
+    def members(self, *rows: i.Member, now: int = NOW) -> None:
+        self.checks.list_changed(i.MembersChanged(i.ListKind.CHANGE, rows), now)
+
+    def begin(self, now: int = NOW, number: int = 0, **more: object) -> None:
+        facts = {
+            "request": "r1",
+            "member": "c0",
+            "source": None,
+            "accept_us": 0,
+            "left_us": NOW + 2 * S - now,
+        }
+        self.checks.attempt_begun(AttemptBegun(**{**facts, "number": number, **more}), now)  # type: ignore[arg-type]
+
+    @property
+    def rules(self) -> list[Rule]:
+        return [violation.rule for violation in self.found]
+
+
+def _departed(c: Checked, late: int) -> None:
+    c.checks.client_departed("r1", NOW)
+    c.begin(NOW + (110_000 if late else 90_000))
+
+
+def _answered_before(c: Checked, late: int) -> None:
+    if late:
+        c.checks.answered("r1", NOW)
+    c.begin(NOW + 1)
+
+
+def _draining(c: Checked, late: int) -> None:
+    c.members(replace(member("c0"), state=i.State.DRAINING), now=NOW)
+    c.begin(NOW + SETTINGS.rules.drain_grace_us + (60_000 if late else 40_000), left_us=0)
+
+
+def _gone_source(c: Checked, late: int) -> None:
+    c.members(replace(member("c1"), state=i.State.GONE), now=NOW)
+    c.begin(NOW + SETTINGS.rules.drain_grace_us + (60_000 if late else 40_000), left_us=0, source="c1")
+
+
+def _purged(c: Checked, late: int) -> None:
+    c.checks.purged(17, None, NOW - 100_000, NOW)
+    at = NOW + 500_000  # grace is 0.3 s
+    c.begin(at, accept_us=2 * S if late else 600_000)
+
+
+def _unbounded_after_a_purge(c: Checked, late: int) -> None:
+    c.checks.purged(-1, "o1" if late else "o2", NOW - 100_000, NOW)
+    c.begin(NOW + 500_000)
+
+
+def _repeated(c: Checked, late: int) -> None:
+    c.begin()
+    c.checks.attempt_ended("r1", 0, proves_unrun=not late)
+    c.begin(NOW + 1, number=1)
+
+
+def _time_told(c: Checked, late: int) -> None:
+    c.begin(left_us=2 * S + (160_000 if late else 140_000))
+
+
+def _cold(c: Checked, late: int) -> None:
+    c.members(member("c0", since=NOW, weight=6.0))
+    rules = SETTINGS.rules
+    allowed = rules.overload_multiple * rules.cold_start * 6.0 * rules.overload_window_us / 100_000
+    for _ in range(int(budget(allowed)) + late):
+        c.begin(NOW + 1)
+
+
+def _answer_twice(c: Checked, late: int) -> None:
+    for _ in range(1 + late):
+        c.checks.answered("r1", NOW + 1)
+
+
+def _never_answered(c: Checked, late: int) -> None:
+    if not late:
+        c.checks.client_departed("r1", NOW)
+    c.checks.request_ended("r1")
+
+
+def _answered_late(c: Checked, late: int) -> None:
+    c.checks.answered("r1", NOW + 2 * S + (510_000 if late else 490_000))
+
+
+def _closed_owing(c: Checked, late: int) -> None:
+    c.checks.connection_closed(7, 1, by_client=not late)
+
+
+def _unwritten(c: Checked, late: int) -> None:
+    c.checks.commands_written(3, 3 - late)
+
+
+CASES: list[tuple[Rule, str, Callable[[Checked, int], None]]] = [
+    (Rule.SENT_FOR_DEPARTED, "chunk", _departed),
+    (Rule.SENT_AFTER_ANSWER, "chunk", _answered_before),
+    (Rule.SENT_TO_UNREADY, "chunk", _draining),
+    (Rule.SENT_TO_UNREADY, "chunk", _gone_source),
+    (Rule.SENT_OVER_PURGE, "chunk", _purged),
+    (Rule.SENT_OVER_PURGE, "chunk", _unbounded_after_a_purge),
+    (Rule.REPEATED_UNSAFELY, "save", _repeated),
+    (Rule.TIME_TOLD, "chunk", _time_told),
+    (Rule.SLOW_START, "chunk", _cold),
+    (Rule.SECOND_ANSWER, "chunk", _answer_twice),
+    (Rule.NO_ANSWER, "chunk", _never_answered),
+    (Rule.LATE_ANSWER, "chunk", _answered_late),
+    (Rule.CLOSED_OWING, "chunk", _closed_owing),
+    (Rule.COMMAND_UNWRITTEN, "chunk", _unwritten),
+]
+
+
+@pytest.mark.parametrize(("rule", "kind", "play"), CASES, ids=[case[2].__name__ for case in CASES])
+def test_a_breach_is_told_and_what_is_just_in_time_is_not(
+    rule: Rule, kind: str, play: Callable[[Checked, int], None]
+) -> None:
+    sound, broken = Checked(kind), Checked(kind)
+    play(sound, 0)
+    play(broken, 1)
+    assert (sound.rules, broken.rules) == ([], [rule])
+    assert broken.found[0].cause
+
+
+def test_every_rule_has_a_planted_breach() -> None:
+    assert {rule for rule, _, _ in CASES} == set(Rule)
+
+
+def test_a_repeat_by_key_is_sound_within_its_window_alone() -> None:
+    for late, found in ((0, []), (1, [Rule.REPEATED_UNSAFELY])):
+        c = Checked("hold")
+        c.begin()
+        c.begin(NOW + 2 * S + (1 if late else -1), number=1)
+        assert c.rules == found
+
+
+def test_tables_are_bounded_by_what_settles() -> None:
+    c = Checked()
+    for n in range(5_000):
+        c.checks.purged(-1, f"o{n}", NOW + n * 10_000, NOW + n * 10_000)
+    assert len(c.checks.purges) <= SETTINGS.rules.purge_settles_us / 10_000 + 2
+    c.checks.request_ended("r1")
+    assert not c.checks.requests
+
+
+# ---- told by the real paths -------------------------------------------------------------------------------
+
+
+def test_the_guard_s_failure_is_counted_by_the_running_director_and_changes_nothing() -> None:
+    async def play(ground: Ground) -> None:
+        cache = ground.cache("c0")
+        ground.script.arrived = lambda request: ask(request, "c0", "c0")
+        ground.core.may_repeat = lambda lifecycle, number: True  # type: ignore[method-assign]  # planted
+        lifecycle = ground.start("save")
+        conn = await ground.accepted(cache)
+        await ground.read(conn, lifecycle.request.id.encode())
+        await ground.until(lambda: ground.counters.counts["violation.repeated_unsafely"] == 1)
+        assert not ground.answers  # it is told, and served on
+
+    played(play)
+
+
+def test_a_served_request_breaks_nothing_and_its_ends_have_reasons() -> None:
+    from onyxwick.net import resp
+
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        client = await ground.client()
+        await loop.sock_sendall(client, call(1))
+        conn = await ground.accepted(cache)
+        await ground.read(conn, f"{1:016x}".encode())
+        await loop.sock_sendall(conn, resp.command(f"{1:016x}".encode(), b"data", FOUND, b"walk"))
+        await ground.read(client, b"walk")
+        client.close()
+        conn.close()
+        counts = ground.counters.counts
+        await ground.until(lambda: counts["ended.client.closed_by_peer"] == 1)
+        await ground.until(lambda: counts["ended.cache.closed_by_peer"] == 1)
+        assert not [name for name in counts if name.startswith("violation.")]
+        assert not ground.core.invariants.requests
+
+    played(play)
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -14,7 +14,7 @@
 ON = {  # of the project's own: all that a director without a service file needs
     "onyxwick", "onyxwick.__main__", "onyxwick.config", "onyxwick.config.address", "onyxwick.config.errors",
     "onyxwick.config.relay", "onyxwick.core", "onyxwick.core.clock", "onyxwick.core.engine",
-    "onyxwick.core.members",
+    "onyxwick.core.invariants", "onyxwick.core.members", "onyxwick.core.reasons",
     "onyxwick.core.model", "onyxwick.core.pacing", "onyxwick.core.stall", "onyxwick.counters",
     "onyxwick.interface",
     "onyxwick.lifecycle", "onyxwick.logic", "onyxwick.logs", "onyxwick.net", "onyxwick.net.buffer",
