--- a/onyxwick/cli/faults.py
+++ b/onyxwick/cli/faults.py
@@ -175,3 +175,36 @@
         faults_run, file=Path(found.scenario), seed=found.seed, variant=found.variant, slot=0, keep=None,
         program=None, simulated=False, directors=None, as_json=False,
     )  # fmt: skip
+
+
+@faults.command()
+@click.option("--seed", "first", type=int, default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True)
+@click.option("--directors", type=click.IntRange(1, 40), default=10, show_default=True)
+@click.option("--minutes", type=click.FloatRange(0.1, 60), default=1.0, show_default=True)
+@click.option("--only", default="", help="Numbers of the faults to keep, as 3,7; 0: none.")
+@click.option("--keep", type=click.Path(path_type=Path), help="A folder for what failed runs leave.")
+@click.option(
+    "--shrink", type=click.IntRange(0, 200), default=0, help="Plays to find fewer faults that fail."
+)
+def soak(
+    first: int, seeds: int, directors: int, minutes: float, only: str, keep: Path | None, shrink: int
+) -> None:
+    """Real directors under overlapping faults of calls, clocks, signals, feeds, caches and clients.
+
+    One report as JSON a seed; exit 1 where a rule broke, 3 where the lab itself was too late to judge.
+    """
+    from onyxwick.lab.soak.shim import ShimError
+    from onyxwick.lab.soak.sweep import play_all
+
+    kept = tuple(int(number) for number in only.split(",")) if only else None
+    try:
+        reports = play_all(range(first, first + seeds), directors, minutes * 60, kept, keep, shrink)
+        codes = set()
+        for report in reports:
+            click.echo(json.dumps(report.data()))
+            codes.add(1 if report.findings else 0 if report.judged else 3)
+    except ShimError as error:
+        raise Unusable(str(error)) from None
+    if codes - {0}:
+        raise click.exceptions.Exit(min(codes - {0}))
--- /dev/null
+++ b/onyxwick/lab/soak/acts.py
@@ -0,0 +1,382 @@
+"""What each kind of fault does, how it ends, and what the directors had been told by when."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from onyxwick.lab.feed import row_of
+from onyxwick.lab.soak.clients import OBJECTS
+from onyxwick.lab.soak.model import Down, Purged, Started, Unready
+from onyxwick.lab.soak.plan import Fault, Kind
+from onyxwick.lab.soak.process import SoakDirector
+from onyxwick.lab.soak.shim import (
+    ACCEPT_ERRORS,
+    CONNECT_ERRORS,
+    DISK_ERRORS,
+    KILL_IN_WRITE,
+    SOCKET_ERRORS,
+    Field,
+)
+
+if TYPE_CHECKING:
+    from onyxwick.lab.soak.run import Soak
+    from onyxwick.lab.soak.servers import SoakServer
+
+S = 1_000_000
+STEPS_S = (-3600, -30, -3, 3, 30, 3600)
+FEED_US = 300_000  # for a list or a purge to reach a director over a sound feed
+LATEST_US = 7 * S  # whatever the feed tells counts as told by then
+TROUBLED_US = 4 * S  # the same where a call of the director failed about then
+HELD_RULE_US = 550_000  # the drain's grace and slack, which a command of the operators does not have
+TERM_CONNECTS_S, TERM_ASKS_S = 0.3, 0.2  # after SIGTERM new connections, then requests still come for so long
+DRAIN_CONNECTS_S = 0.2
+DOWN_S = 0.2
+CALL_TRIES = 20
+PURGE_DONE_S = 5.0
+FEED_KINDS = {Kind.FEED_LOST, Kind.FEED_SLOW}
+CALL_KINDS = {Kind.RELOAD, Kind.SOCKET, Kind.CONNECT, Kind.TRANSFER, Kind.STOP, Kind.DISK}
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A fault as it was played, in the lab's microseconds."""
+
+    kind: Kind
+    director: int
+    from_us: int
+    until_us: int
+
+
+class Acts:
+    """The faults of one soak."""
+
+    def __init__(self, soak: Soak) -> None:
+        self.soak = soak
+        self.spans: list[Span] = []
+        self.drained: list[tuple[str, int, int]] = []  # server, told to the feed, lifted
+        self.purges: list[tuple[int, int]] = []  # group, when
+        self.starts: list[tuple[str, int, int]] = []  # server, when, told to the feed
+        self.disk_since: dict[int, list[int]] = defaultdict(list)  # faults of folders that are under way
+        self.taken: set[str] = set()  # servers that a fault holds just now
+        self.doing = {
+            Kind.CLOCK: self._clock,
+            Kind.ACCEPT: self._accept,
+            Kind.SOCKET: self._socket,
+            Kind.CONNECT: self._connect,
+            Kind.TRANSFER: self._transfer,
+            Kind.DISK: self._disk,
+            Kind.STOP: self._stop,
+            Kind.TERM: self._end,
+            Kind.HANDOVER: self._end,
+            Kind.KILL: self._kill,
+            Kind.TORN_WRITE: self._torn_write,
+            Kind.RELOAD: self._reload,
+            Kind.DRAIN: self._drain,
+            Kind.HOLD: self._hold,
+            Kind.FEED_LOST: self._feed_lost,
+            Kind.FEED_SLOW: self._feed_slow,
+            Kind.CLIENTS_LEAVE: self._clients_leave,
+            Kind.CACHE_DRAIN: self._cache_drain,
+            Kind.CACHE_RESTART: self._cache_restart,
+            Kind.CACHE_HANG: self._cache_hang,
+            Kind.PURGE: self._purge,
+        }
+
+    async def play(self, fault: Fault) -> None:
+        """Bring it about, wait, undo it."""
+        begun = self.soak.clock()
+        director = self.soak.directors[fault.director]
+        try:
+            await self.doing[fault.kind](fault, director)
+        finally:
+            self.spans.append(Span(fault.kind, fault.director, begun, self.soak.clock()))
+
+    # ---- system calls ------------------------------------------------------------------------------------
+
+    async def _clock(self, fault: Fault, director: SoakDirector) -> None:
+        step = STEPS_S[fault.draw % len(STEPS_S)]
+        await self._calls(fault, director, {Field.CLOCK_OFFSET_NS: step * 1_000_000_000})
+
+    async def _accept(self, fault: Fault, director: SoakDirector) -> None:
+        await self._calls(fault, director, {Field.ACCEPT_ERRNO: _drawn(fault, ACCEPT_ERRORS)})
+
+    async def _socket(self, fault: Fault, director: SoakDirector) -> None:
+        await self._calls(fault, director, {Field.SOCKET_ERRNO: _drawn(fault, SOCKET_ERRORS)})
+
+    async def _connect(self, fault: Fault, director: SoakDirector) -> None:
+        await self._calls(fault, director, {Field.CONNECT_ERRNO: _drawn(fault, CONNECT_ERRORS)})
+
+    async def _transfer(self, fault: Fault, director: SoakDirector) -> None:
+        fields = {Field.TRANSFER_BYTES: _drawn(fault, (1, 7, 64, 1000))}
+        fields[Field.INTERRUPTED] = (0, 5, 30)[fault.draw // 8 % 3]
+        await self._calls(fault, director, fields)
+
+    async def _disk(self, fault: Fault, director: SoakDirector) -> None:
+        begun = self.soak.clock()
+        self.disk_since[director.number].append(begun)
+        await self._calls(fault, director, {Field.DISK_ERRNO: _drawn(fault, DISK_ERRORS)})
+        self.disk_since[director.number].remove(begun)
+
+    async def _calls(self, fault: Fault, director: SoakDirector, fields: dict[Field, int]) -> None:
+        for name, value in fields.items():
+            director.control.set(name, value)
+        try:
+            await asyncio.sleep(fault.for_s)
+        finally:
+            for name in fields:
+                director.control.set(name, 0)
+
+    # ---- processes ---------------------------------------------------------------------------------------
+
+    async def _stop(self, fault: Fault, director: SoakDirector) -> None:
+        process = director.process
+        if process is None:
+            return
+        begun = self.soak.clock()
+        process.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(fault.for_s)
+        finally:
+            process.signal(signal.SIGCONT)
+            self.soak.records.stopped.append(Down(director.number, begun, self.soak.clock() + 20_000))
+
+    async def _end(self, fault: Fault, director: SoakDirector) -> None:
+        """A planned restart, or where the lab holds the listening socket an upgrade."""
+        async with director.busy:
+            old = director.process
+            if old is None or not director.up:
+                return
+            if director.held is not None:
+                await self.soak.start(director)
+                await director.term(old)
+                return
+            ending = asyncio.get_running_loop().create_task(director.term(old))
+            await asyncio.sleep(TERM_CONNECTS_S)
+            director.up = False
+            await asyncio.sleep(TERM_ASKS_S)
+            director.open = False
+            await ending
+            await self.soak.start(director)
+
+    async def _kill(self, fault: Fault, director: SoakDirector) -> None:
+        async with director.busy:
+            await self._killed(director)
+
+    async def _killed(self, director: SoakDirector) -> None:
+        process = director.process
+        if process is None:
+            return
+        begun = self.soak.clock()
+        director.up = director.open = False
+        process.signal(signal.SIGKILL)
+        await process.wait(5.0)
+        await asyncio.sleep(DOWN_S)
+        director.control.set(Field.DISK_ERRNO, 0)
+        await self.soak.start(director)
+        self.soak.records.down.append(Down(director.number, begun, self.soak.clock()))
+
+    async def _torn_write(self, fault: Fault, director: SoakDirector) -> None:
+        """Killed in the middle of writing the operators' file: the call gets no yes, so nothing is owed."""
+        async with director.busy:
+            server = self._free(fault, ("box",))
+            if server is None:
+                return
+            begun = self.soak.clock()
+            director.control.set(Field.DISK_ERRNO, KILL_IN_WRITE)
+            await director.call("POST", f"/caches/disable/{server.name}", 0.5)
+            await self._killed(director)
+            self.soak.records.down.append(Down(director.number, begun, self.soak.clock()))
+            await self._called(director, f"/caches/enable/{server.name}")
+            self.taken.discard(server.name)
+
+    async def _reload(self, fault: Fault, director: SoakDirector) -> None:
+        async with director.busy:
+            director.feed_at ^= 1
+            director.write(self.soak.told(director))
+            if director.process is not None:
+                director.process.signal(signal.SIGHUP)
+
+    # ---- the operators -----------------------------------------------------------------------------------
+
+    async def _called(self, director: SoakDirector, path: str) -> bool:
+        """A call, again until it is answered with yes."""
+        for _ in range(CALL_TRIES):
+            if await director.call("POST", path) == 200:
+                return True
+            await asyncio.sleep(0.2)
+        self.soak.records.ended.append(f"{director.name} never said yes to {path}")
+        return False
+
+    async def _drain(self, fault: Fault, director: SoakDirector) -> None:
+        async with director.busy:
+            if not director.up or not await self._called(director, "/drain"):
+                return
+            if await director.call("GET", "/ready") != 503:
+                self.soak.records.ended.append(f"{director.name} is ready though drained")
+            await asyncio.sleep(DRAIN_CONNECTS_S)
+            director.up = False
+            await asyncio.sleep(fault.for_s)
+            await self._called(director, "/undrain")
+            begun = self.soak.clock()
+            while await director.call("GET", "/ready") != 200:
+                if self.soak.clock() - begun > 2 * S:
+                    self.soak.records.ended.append(f"{director.name} is not ready 2 s after its drain's end")
+                    break
+                await asyncio.sleep(0.05)
+            director.up = True
+
+    async def _hold(self, fault: Fault, director: SoakDirector) -> None:
+        server = self._free(fault, ("box",))
+        if server is None:
+            return
+        try:
+            begun = self.soak.clock()
+            if await director.call("POST", f"/caches/disable/{server.name}") != 200:
+                await self._called(director, f"/caches/enable/{server.name}")
+                return
+            told = min(self.soak.clock(), begun + S)
+            await asyncio.sleep(fault.for_s)
+            until = self.soak.clock()
+            until = min([until, *self._forgotten(director, told)])
+            row = Unready(server.name, director.number, told - HELD_RULE_US, until)
+            self.soak.records.unready.append(row)
+            await self._called(director, f"/caches/enable/{server.name}")
+        finally:
+            self.taken.discard(server.name)
+
+    def _forgotten(self, director: SoakDirector, since: int) -> list[int]:
+        """Kills while the folder took no write: what could not be written is not known after them."""
+        downs = [d for d in self.soak.records.down if d.director == director.number and d.from_us >= since]
+        disk = [s for s in self._disk_spans(director)]
+        return [d.from_us for d in downs if any(begin <= d.from_us <= end + S // 2 for begin, end in disk)]
+
+    def _disk_spans(self, director: SoakDirector) -> list[tuple[int, int]]:
+        """When its folder took no write; a fault that is under way has no end yet."""
+        ended = [s for s in self.spans if s.kind is Kind.DISK and s.director == director.number]
+        return [(s.from_us, s.until_us) for s in ended] + [
+            (at, 1 << 62) for at in self.disk_since[director.number]
+        ]
+
+    # ---- the feed ----------------------------------------------------------------------------------------
+
+    async def _feed_lost(self, fault: Fault, director: SoakDirector) -> None:
+        await self._way(fault, director, cut=True)
+
+    async def _feed_slow(self, fault: Fault, director: SoakDirector) -> None:
+        await self._way(fault, director, cut=False)
+
+    async def _way(self, fault: Fault, director: SoakDirector, cut: bool) -> None:
+        ways = [relay.way for relay in director.relays]
+        for way in ways:
+            if cut:
+                way.cut_there = way.cut_back = True
+            else:
+                way.bytes_per_s = float(_drawn(fault, (300, 2000, 20_000)))
+            way.changed()
+        try:
+            await asyncio.sleep(fault.for_s)
+        finally:
+            for way in ways:
+                if cut:
+                    way.cut_there = way.cut_back = False
+                else:
+                    way.bytes_per_s = 0.0
+                way.changed()
+
+    async def _clients_leave(self, fault: Fault, director: SoakDirector) -> None:
+        self.soak.clients.leaving.add(director.number)
+        await asyncio.sleep(fault.for_s)
+        self.soak.clients.leaving.discard(director.number)
+
+    # ---- caches ------------------------------------------------------------------------------------------
+
+    def _free(self, fault: Fault, kinds: tuple[str, ...]) -> SoakServer | None:
+        """A server that no other fault holds, drawn; the caller gives it back."""
+        fit = [s for s in self.soak.servers.values() if s.kind in kinds and s.name not in self.taken]
+        if len(self.taken) >= 4 or not fit:
+            return None
+        server = fit[fault.draw % len(fit)]
+        self.taken.add(server.name)
+        return server
+
+    def _list(self, server: SoakServer, state: str) -> int:
+        """Tell all lists; when."""
+        for director in self.soak.directors:
+            director.feed.list([row_of(server, state)])
+        return self.soak.clock()
+
+    async def _cache_drain(self, fault: Fault, director: SoakDirector) -> None:
+        if (server := self._free(fault, ("box", "parent"))) is None:
+            return
+        told = self._list(server, "DRAINING")
+        await asyncio.sleep(fault.for_s)
+        self.drained.append((server.name, told, self.soak.clock()))
+        self._list(server, "SERVING")
+        self.taken.discard(server.name)
+
+    async def _cache_restart(self, fault: Fault, director: SoakDirector) -> None:
+        if (server := self._free(fault, ("box", "parent"))) is None:
+            return
+        await server.die()
+        await asyncio.sleep(fault.for_s)
+        server.cold_start()
+        await server.listen()
+        began = self.soak.clock()
+        self.starts.append((server.name, began, self._list(server, "SERVING")))
+        self.taken.discard(server.name)
+
+    async def _cache_hang(self, fault: Fault, director: SoakDirector) -> None:
+        if (server := self._free(fault, ("box", "parent"))) is None:
+            return
+        server.hang(True)
+        await asyncio.sleep(fault.for_s)
+        server.hang(False)
+        self.taken.discard(server.name)
+
+    async def _purge(self, fault: Fault, director: SoakDirector) -> None:
+        world, now = self.soak.world, self.soak.clock()
+        names = [f"{n:016x}" for n in range(OBJECTS)]
+        group = world.group(names[fault.draw % OBJECTS])
+        world.truth.purge(group, now)
+        self.purges.append((group, now))
+        for each in self.soak.directors:
+            each.feed.purge(group, now)
+        purged = {name for name in names if world.group(name) == group}
+        rng, loop = random.Random(fault.draw), asyncio.get_running_loop()
+        for server in self.soak.servers.values():
+            loop.call_later(rng.uniform(0.5, PURGE_DONE_S), server.store.purge, purged, now)
+
+    # ---- who had been told by when -----------------------------------------------------------------------
+
+    def settle(self) -> None:
+        """Write down, after the run, what each director had been told at the latest."""
+        records, numbers = self.soak.records, range(len(self.soak.directors))
+        for server, at, lifted in self.drained:
+            records.unready += [Unready(server, d, self._told(d, at), lifted) for d in numbers]
+        for group, at in self.purges:
+            records.purged += [Purged(group, at, d, self._told(d, at)) for d in numbers]
+        for server, began, at in self.starts:
+            records.started.append(Started(server, began, max(self._told(d, at) for d in numbers)))
+
+    def _told(self, director: int, at: int) -> int:
+        told = at + FEED_US
+        for span in self.spans:
+            if span.director != director or span.from_us > at + FEED_US:
+                continue
+            if span.kind in FEED_KINDS and span.until_us >= at:
+                told = max(told, min(at + LATEST_US, span.until_us + TROUBLED_US))
+            elif (span.kind in CALL_KINDS and span.until_us >= at - TROUBLED_US) or (
+                span.kind in (Kind.TERM, Kind.HANDOVER, Kind.KILL, Kind.TORN_WRITE)
+                and span.until_us >= at - TROUBLED_US
+            ):
+                told = max(told, at + TROUBLED_US, span.until_us + S)
+        return told
+
+
+def _drawn(fault: Fault, values: tuple[int, ...]) -> int:
+    return values[fault.draw % len(values)]
--- /dev/null
+++ b/onyxwick/lab/soak/clients.py
@@ -0,0 +1,233 @@
+"""Clients of a soak over FastCGI: they ask, leave, write slowly or in a hurry, and note what they see."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from onyxwick.config.address import Address
+from onyxwick.lab.clients import Connection, read_reply
+from onyxwick.lab.soak.model import BOOKING, JOB_SHEET, SITE_VIDEO, Call, Records
+from onyxwick.net import fastcgi
+
+S = 1_000_000
+CLASSES = {SITE_VIDEO: 0.5, JOB_SHEET: 0.42, BOOKING: 0.08}
+TIMEOUTS_MS = {SITE_VIDEO: (1500, 3000), JOB_SHEET: (800, 1500), BOOKING: (1000, 2000)}
+OBJECTS, PARTS = 60, 3
+REUSE, LEAVES, SLOW, HURRIED, BAD = 0.6, 0.12, 0.06, 0.04, 0.02
+IDLE_MOST_S = 4.0  # the platform's clients close what is idle for so long
+CONNECT_S = 2.0
+CROSSED_US = 50_000
+END_S = 1.0  # after its time a request is waited for so long before it counts as never answered
+
+
+class SoakConnection(Connection):
+    """One connection, with what the soak's clients need to know of it."""
+
+    def __init__(self) -> None:
+        super().__init__(reads=True)
+        self.asked = 0
+        self.half = False  # a call is being written on it, slowly
+        self.used_at = 0.0
+        self.closed_us = 0
+        self.calls: dict[str, Call] = {}  # that wait for their answer
+        self.clock: Callable[[], int] = lambda: 0
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note when; whoever waits learns it."""
+        self.closed_us = self.clock()
+        super().connection_lost(exc)
+
+    def eof_received(self) -> bool:
+        """The director has written its end: nothing new may be asked here."""
+        self.closed = True
+        self.closed_us = self.closed_us or self.clock()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_result(None)
+        return False
+
+
+class Clients:
+    """All clients of one run. `clock`: the lab's, in microseconds."""
+
+    def __init__(
+        self, records: Records, clock: Callable[[], int], seed: int, group: Callable[[str], int]
+    ) -> None:
+        self.records, self.clock, self.group = records, clock, group
+        self.random = random.Random(f"soak clients {seed}")
+        self.pools: dict[int, list[SoakConnection]] = {}
+        self.leaving: set[int] = set()  # directors whose clients leave early just now
+        self.twice = 0
+
+    async def ask(self, director: int, address: Address, fresh_allowed: bool) -> None:
+        """One request to a director, with its client's habits drawn anew."""
+        rng = self.random
+        connection = self._idle(director) if rng.random() < REUSE or not fresh_allowed else None
+        if connection is None and not fresh_allowed:
+            return
+        if connection is None:
+            connection = await self._connect(director, address)
+            if connection is None:
+                return
+        if rng.random() < BAD and connection.transport is not None:
+            connection.transport.write(_bad_call())
+        await self._request(director, address, connection)
+
+    def _idle(self, director: int) -> SoakConnection | None:
+        now = asyncio.get_running_loop().time()
+        pool = self.pools.setdefault(director, [])
+        for connection in list(pool):
+            if connection.closed or now - connection.used_at > IDLE_MOST_S:
+                pool.remove(connection)
+                self.twice += connection.twice
+                if connection.transport is not None:
+                    connection.transport.close()
+        fit = [c for c in pool if len(c.waiting) < 8 and not c.half]
+        return self.random.choice(fit) if fit else None
+
+    async def _connect(self, director: int, address: Address) -> SoakConnection | None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, connection = await loop.create_connection(SoakConnection, *address)
+        except (OSError, TimeoutError):
+            return None
+        connection.clock = self.clock
+        connection.used_at = loop.time()
+        self.pools.setdefault(director, []).append(connection)
+        if self.random.random() < 0.3:
+            await asyncio.sleep(self.random.uniform(0.01, 0.2))  # it asks a moment after it came
+        return connection
+
+    async def _request(self, director: int, address: Address, connection: SoakConnection) -> None:
+        rng = self.random
+        name = rng.choices(list(CLASSES), list(CLASSES.values()))[0]
+        least, most = (20, 120) if rng.random() < HURRIED else TIMEOUTS_MS[name]
+        item, part = f"{rng.randrange(OBJECTS):016x}", rng.randrange(PARTS)
+        request_id, timeout_us = f"{rng.getrandbits(64):016x}", rng.randint(least, most) * 1000
+        call = Call(request_id, name, self.group(item), director, 0, timeout_us, fresh=not connection.asked)
+        params = {
+            "SCRIPT_NAME": f"/call/{name}",
+            "HTTP_X_REQUEST_ID": call.id,
+            "HTTP_X_TIMEOUT_MS": str(call.timeout_us // 1000),
+            "HTTP_X_OBJECT": item,
+            "HTTP_X_NTH": str(part),
+            "HTTP_X_BATCH": str(call.group),
+        }
+        if connection.closed or connection.transport is None:
+            return
+        slowly = rng.random() < SLOW and not connection.waiting
+        number, future = await self._write(connection, params, slowly)
+        if future is None:
+            return  # the connection ended under half a call: nothing was asked
+        connection.asked += 1
+        connection.used_at = asyncio.get_running_loop().time()
+        call.sent_us = self.clock()
+        self.records.calls[call.id] = call
+        if rng.random() < (0.7 if director in self.leaving else LEAVES):
+            await self._leave(connection, number, future, call)
+            return
+        await self._wait(connection, future, call)
+        if not call.answers and not call.fresh and self._crossed(connection, call):
+            await self._again(director, address, params, call)
+
+    async def _write(
+        self, connection: SoakConnection, params: dict[str, str], slowly: bool
+    ) -> tuple[int, asyncio.Future[bytes | None] | None]:
+        if not slowly:
+            return connection.send(params)
+        transport, pieces = connection.transport, list[bytes]()
+        assert transport is not None
+        real, connection.transport = transport, _Recorder(pieces)  # type: ignore[assignment]
+        number, future = connection.send(params)
+        connection.transport = real
+        data = b"".join(pieces)
+        cut = self.random.randrange(1, len(data))
+        transport.write(data[:cut])
+        connection.half = True
+        await asyncio.sleep(self.random.uniform(0.02, 0.5))
+        connection.half = False
+        if connection.closed:
+            connection.waiting.pop(number, None)
+            return number, None
+        transport.write(data[cut:])
+        return number, future
+
+    async def _leave(
+        self, connection: SoakConnection, number: int, future: asyncio.Future[bytes | None], call: Call
+    ) -> None:
+        """Wait for a moment, then cancel or close, unless the answer has come."""
+        await asyncio.wait([future], timeout=self.random.choice((0.0, 0.005, 0.03, 0.15, 0.5)))
+        if future.done():
+            self._note(connection, future, call)
+            return
+        call.left_us = self.clock()
+        if self.random.random() < 0.5:
+            connection.abort(number)
+            return
+        for other in connection.calls.values():  # whoever else asked on it has left too
+            other.left_us = other.left_us or call.left_us
+        connection.closed = True
+        if connection.transport is not None:
+            connection.transport.abort() if self.random.random() < 0.3 else connection.transport.close()
+
+    async def _wait(
+        self, connection: SoakConnection, future: asyncio.Future[bytes | None], call: Call
+    ) -> None:
+        connection.calls[call.id] = call
+        await asyncio.wait([future], timeout=call.timeout_us / S + END_S)
+        connection.calls.pop(call.id, None)
+        if future.done():
+            self._note(connection, future, call)
+
+    def _note(self, connection: SoakConnection, future: asyncio.Future[bytes | None], call: Call) -> None:
+        data = future.result()
+        call.ended_us = self.clock()
+        if data is None:
+            return
+        connection.used_at = asyncio.get_running_loop().time()
+        reply = read_reply(data)
+        call.answers += 1
+        call.verdict, call.tag = reply.verdict, reply.tag
+
+    def _crossed(self, connection: SoakConnection, call: Call) -> bool:
+        """Did it cross the end of a resting connection? Then it is sent again, once."""
+        return connection.closed_us > 0 and connection.closed_us - call.sent_us <= CROSSED_US
+
+    async def _again(self, director: int, address: Address, params: dict[str, str], call: Call) -> None:
+        connection = await self._connect(director, address)
+        if connection is None or connection.transport is None:
+            call.left_us = call.ended_us  # nobody takes connections there any more
+            return
+        call.again, call.fresh, call.ended_us = True, True, 0
+        left = call.sent_us + call.timeout_us - self.clock()
+        params["HTTP_X_TIMEOUT_MS"] = str(max(1, left // 1000))
+        _, future = connection.send(params)
+        connection.asked += 1
+        await self._wait(connection, future, call)
+
+    def close(self) -> None:
+        """End all connections."""
+        for pool in self.pools.values():
+            for connection in pool:
+                self.twice += connection.twice
+                if connection.transport is not None:
+                    connection.transport.abort()
+
+
+class _Recorder:
+    """In a transport's place: keeps what is written."""
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        self.write = pieces.append
+
+
+def _bad_call() -> bytes:
+    """A call that can be told apart and not used."""
+    begin = fastcgi.BEGIN_BODY.pack(fastcgi.RESPONDER, 1)
+    pairs = fastcgi.write_pairs({b"SCRIPT_NAME": b"/call/unheard-of"})
+    kind = fastcgi.Type
+    records = ((kind.BEGIN, begin), (kind.PARAMS, pairs), (kind.PARAMS, b""), (kind.STDIN, b""))
+    return b"".join(fastcgi.record(k, 65_000, content) for k, content in records)
--- /dev/null
+++ b/onyxwick/lab/soak/shim.py
@@ -0,0 +1,88 @@
+"""The system-call shim of one process: built with the C compiler, steered through a mapped file."""
+
+from __future__ import annotations
+
+import errno
+import mmap
+import struct
+import subprocess
+from enum import IntEnum
+from pathlib import Path
+
+SOURCE = Path(__file__).with_name("shim.c")
+SIZE = 4096
+BUILD_S = 60.0
+
+
+class Field(IntEnum):
+    """Places of the control's fields, as in `struct control` of shim.c."""
+
+    CLOCK_OFFSET_NS = 0
+    ACCEPT_ERRNO = 1
+    SOCKET_ERRNO = 2
+    CONNECT_ERRNO = 3
+    DISK_ERRNO = 4
+    TRANSFER_BYTES = 5
+    INTERRUPTED = 6
+
+
+COUNTS = ("accept", "socket", "connect", "transfer", "disk", "wait")
+FIRST_COUNT = len(Field)
+KILL_IN_WRITE = -1
+ACCEPT_ERRORS = (errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO)
+SOCKET_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
+CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS)
+DISK_ERRORS = (errno.ENOSPC, errno.EIO)
+
+
+class ShimError(Exception):
+    """The shim cannot be built; the text has the compiler's words."""
+
+
+def build(folder: Path) -> Path:
+    """The library, built into a folder; ShimError where there is no compiler or it fails."""
+    library = folder / "shim.so"
+    command = ["cc", "-O2", "-shared", "-fPIC", "-o", str(library), str(SOURCE), "-ldl"]
+    try:
+        done = subprocess.run(command, capture_output=True, text=True, timeout=BUILD_S, check=False)
+    except (OSError, subprocess.TimeoutExpired) as error:
+        raise ShimError(f"the shim cannot be built: {error}") from None
+    if done.returncode:
+        raise ShimError(f"the shim cannot be built: {done.stderr}")
+    return library
+
+
+class Control:
+    """One process's faults, and how often it met them."""
+
+    def __init__(self, path: Path) -> None:
+        path.write_bytes(bytes(SIZE))
+        self.path = path
+        with path.open("r+b") as file:
+            self._map = mmap.mmap(file.fileno(), SIZE)
+
+    def set(self, name: Field, value: int) -> None:
+        """Let calls fail so from now on; 0: no more."""
+        struct.pack_into("q", self._map, 8 * name, value)
+
+    def clear(self) -> None:
+        """No call fails any more, and the clock is right."""
+        for name in Field:
+            self.set(name, 0)
+
+    def counts(self) -> dict[str, int]:
+        """How often each fault was met, by name."""
+        found = struct.unpack_from(f"{len(COUNTS)}q", self._map, 8 * FIRST_COUNT)
+        return dict(zip(COUNTS, found, strict=True))
+
+    def close(self) -> None:
+        """Give the mapping back."""
+        self._map.close()
+
+    def environment(self, library: Path, folder: Path) -> dict[str, str]:
+        """Variables that load the shim into a process; calls on files fail within `folder`."""
+        return {
+            "LD_PRELOAD": str(library),
+            "ONYXWICK_SHIM_CONTROL": str(self.path),
+            "ONYXWICK_SHIM_FOLDER": str(folder),
+        }
--- /dev/null
+++ b/onyxwick/lab/soak/sweep.py
@@ -0,0 +1,66 @@
+"""Soaks of several seeds, one after the other, and the shrinker of those that fail."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
+from pathlib import Path
+
+import uvloop
+
+from onyxwick.lab.soak.run import Plan, Report, Soak
+
+CHUNKS = 8  # parts of the faults that are dropped at once at first
+
+
+def play(plan: Plan, keep: Path | None = None) -> Report:
+    """One run."""
+
+    async def main() -> Report:
+        return await Soak(plan, keep=keep).play()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main())
+
+
+def shrunk(plan: Plan, fails: Callable[[Plan], bool], plays: int) -> Plan:
+    """A plan with fewer faults that still fails: parts are dropped, ever smaller ones, while it does
+    (delta debugging: Zeller and Hildebrandt 2002). `plays`: tried at most."""
+    kept = [fault.number for fault in plan.faults()]
+    size = max(1, len(kept) // CHUNKS)
+    at = 0
+    while plays > 0 and kept:
+        rest = kept[:at] + kept[at + size :]
+        plays -= 1
+        if len(rest) < len(kept) and fails(replace(plan, only=tuple(rest))):
+            kept = rest
+        else:
+            at += size
+        if at >= len(kept):
+            if size == 1:
+                break
+            size, at = max(1, size // 2), 0
+    return replace(plan, only=tuple(kept))
+
+
+def play_all(
+    seeds: Iterable[int],
+    directors: int,
+    seconds: float,
+    only: tuple[int, ...] | None,
+    keep: Path | None,
+    shrink: int,
+) -> Iterator[Report]:
+    """A report for each seed; after one that failed, that of its plan with fewer faults."""
+    for seed in seeds:
+        plan = Plan(seed, directors, seconds, only)
+        report = play(plan, keep)
+        yield report
+        if report.findings and shrink:
+            rules = {finding.rule for finding in report.findings}
+
+            def fails(tried: Plan, rules: set[str] = rules) -> bool:
+                return bool(rules & {finding.rule for finding in play(tried).findings})
+
+            yield play(shrunk(plan, fails, shrink), keep)
--- a/onyxwick/net/fastcgi.py
+++ b/onyxwick/net/fastcgi.py
@@ -171,9 +171,13 @@
 
     def one_call_waits(self) -> bool:
         """Does what was received and not yet taken hold the beginning of one call at most?"""
-        begin = bytes((VERSION, BEGIN))
-        at = self.buffer.find(begin)
-        return at < 0 or self.buffer.find(begin, at + 1) < 0
+        buffer, begun = self.buffer, 0
+        at = buffer.start
+        while buffer.end - at >= HEADER.size:
+            _, kind, _, size, pad = HEADER.unpack_from(buffer.data, at)
+            begun += kind == BEGIN
+            at += HEADER.size + size + pad
+        return begun <= 1
 
     def messages(self) -> Iterator[Message]:
         buffer, unpack = self.buffer, HEADER.unpack_from
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -131,6 +131,8 @@
                 pause = asyncio.sleep(FAULT_PAUSE_S * self.faults)
                 if await self._rest(pause, FAULT_PAUSE_S * self.faults):
                     return
+            if not unread(self.sock):
+                self.not_read_since = 0.0  # nothing has come meanwhile
         if self.ending:
             await self._end()
 
--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -311,3 +311,19 @@
         assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
 
     played(play)
+
+
+def test_time_at_rest_after_a_pause_is_no_time_unread() -> None:
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        client = await ground.client()
+        await loop.sock_sendall(client, call(1, path="/nowhere"))
+        await ground.read(client, b"404")
+        await asyncio.sleep(0.4)  # the pause is long over, and nothing has come
+        hurried = {"HTTP_X_TIMEOUT_MS": "300"}
+        await loop.sock_sendall(client, call(2, more=hurried) + call(3, more=hurried))
+        conn = await ground.accepted(cache)
+        assert _told_ms(await ground.read(conn, f"{2:016x}".encode())) > 200
+
+    played(play)
