--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -538,7 +538,8 @@
             try:
                 self._admit(sock.accept()[0])
             except BlockingIOError:
-                self.accept_failing_since = 0.0
+                self.accept_failures = 0
+        self.accept_failing_since = 0.0
                 await readable(loop, sock)
                 continue
             except OSError as error:
@@ -577,7 +578,8 @@
         self.counters.add("error.accept" if exhausted else "client.aborted")
         log.warning("accept failed", error=str(error))
         self.accept_failing_since = self.accept_failing_since or time.monotonic()
-        return ACCEPT_PAUSE_S if exhausted else 0.0
+        self.accept_failures += 1
+        return ACCEPT_PAUSE_S if exhausted or self.accept_failures % ACCEPT_TURN == 0 else 0.0
 
     def _admit(self, conn: socket.socket) -> None:
         if len(self.clients) - len(self.shut) >= self.most_clients and not self._make_room():
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -139,6 +139,7 @@
             self.door = listen(("127.0.0.1", 0))
             self.opened.append(self.door)
             self.tasks.append(loop.create_task(self.front.accept(self.door)))
+            self.tasks.append(loop.create_task(self.front.watch_turns()))
         sock = socket.create_connection(self.door.getsockname())
         sock.setblocking(False)
         self.opened.append(sock)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -143,3 +143,24 @@
     stamps.caught_up(now)
     # The feed's clock was ahead for a moment, and is right again: no purge is taken for an hour old.
     assert stamps.purge(now - HOUR_US, now + S_US) >= now
+
+
+def test_a_start_with_the_clock_an_hour_ahead_is_put_right_by_the_first_live_purge(wall: WallClock) -> None:
+    """What the configuration told seemed an hour old: its purges had been dropped, its starts were warm."""
+
+    async def play(ground: Ground) -> None:
+        feed, now = Coordinator(ground.core, ground.counters), wall.true_us() - HOUR_US  # of the feed's clock
+        row = {"id": "c0", "addr": "127.0.0.1:1", "zone": "edge-1", "kind": "box", "state": "SERVING"}
+        servers = [{**row, "weight": 6, "started_ms": (now - 2 * S_US) // 1000}]
+        purge = {"shard": 17, "unix_ms": (now - 3 * S_US) // 1000}
+        events = [{"index": 1, "endpoints": {"full": True, "servers": servers}}, {"index": 2, "evict": purge}]
+        feed.known({"index": 2, "updates": events})
+        feed.line(b"2")
+        live = {"index": 3, "evict": {"ref": "00000000000000aa", "unix_ms": (now - 100_000) // 1000}}
+        feed.line(json.dumps(live).encode())
+        again = [e for e in ground.script.events if isinstance(e, i.Purged) and e.group == 17][-1]
+        assert again.age_us < 5 * S_US
+        change = [e for e in ground.script.events if isinstance(e, i.MembersChanged)][-1]
+        assert ground.core.now() - change.members[0].since_us < 4 * S_US
+
+    played(play)
