--- a/onyxwick/core/clock.py
+++ b/onyxwick/core/clock.py
@@ -58,7 +58,9 @@
     """
 
     floor_us: int | None = None  # when the feed was last heard with nothing outstanding
+    _sound: bool = False  # a live purge has shown how far the clocks are apart
     _delays: deque[int] = field(default_factory=lambda: deque(maxlen=DELAYS_KEPT))
+    ahead_us: int = 0  # by how much this process's clock proved to be ahead of the feed's at the start
     _starts: dict[str, tuple[int, int]] = field(
         default_factory=dict
     )  # cache: its stamp, what it was taken for
@@ -70,6 +72,10 @@
     def purge(self, stamp_us: int, now: int) -> int:
         """When a purge that was just received was made."""
         delay = now - stamp_us
+        if self.floor_us is not None and delay > MOST_DELAY_US and not self.ahead_us and not self._sound:
+            self.ahead_us = delay
+            self._starts.clear()
+        self._sound |= self.floor_us is not None
         if self.floor_us is not None or delay <= KNOWN_DELAY_US:
             self._delays.append(delay)
         made = min(now, stamp_us + self._offset())
@@ -83,11 +89,16 @@
         if held is not None and held[0] == stamp_us:
             return held[1]
         started = min(now, stamp_us + (self._offset() if self.floor_us is not None else 0))
-        if self.floor_us is not None and started < self.floor_us - MOST_DELAY_US:
+        if self.floor_us is not None and not self.ahead_us and started < self.floor_us - MOST_DELAY_US:
             started = now  # the list would have told of it long ago: the clocks are apart
         self._starts[cache] = stamp_us, started
         return started
 
+    @property
+    def compared(self) -> bool:
+        """Has a live purge shown how far the clocks are apart?"""
+        return self._sound
+
     def forget(self, cache: str) -> None:
         """A cache has left the list."""
         self._starts.pop(cache, None)
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -99,12 +100,15 @@
         self.first_byte_patience = Patience(SILENT_S, 2)
         self.line_patience = Patience(LINE_S, 4)
         self.failed_tries = 0  # of the next event
+        self.known_events: list[dict[str, Any]] = []  # of the configuration, until the clocks are compared
         self.gaps = 0  # connections on which the event after the next one came instead
         self.beat: Callable[[], None] | None = None  # called with each line that the feed brings
 
     def known(self, known: dict[str, Any]) -> None:
         """What the configuration tells of the time before the start."""
-        for event in known.get("updates") or ():
+        events = known.get("updates") or ()
+        self.known_events = [event for event in events if isinstance(event, dict)]
+        for event in events:
             for _ in range(APPLY_TRIES):
                 with contextlib.suppress(EventFailedError):
                     self.apply(event)
@@ -135,6 +139,29 @@
                 raise EventFailedError(f"event {index} is to be told again") from error
         self.last, self.failed_tries = index, 0
         self.core.feed_observed(index)
+        if self.known_events and self.stamps.compared:
+            self._put_right()
+
+    def _put_right(self) -> None:
+        """The first live purge has shown how far the feed's clock is from this one: where that is far, what
+        the configuration told is taken in once more with its true ages, as far as it still binds."""
+        events, self.known_events = self.known_events, []
+        if not self.stamps.ahead_us:
+            return
+        now, settles_us = self.core.now(), self.core.settings.rules.purge_settles_us
+        log.warning("the clock was ahead at the start", ahead_s=self.stamps.ahead_us // 1_000_000)
+        for event in events:
+            evict = event.get("evict") or {}
+            made = int(evict.get("unix_ms") or 0) * 1000 + self.stamps.ahead_us
+            if now - made <= settles_us:
+                group = -1 if evict.get("shard") is None else int(evict["shard"])
+                name = None if evict.get("ref") is None else str(evict["ref"])
+                self.core.purged(group, name, min(now, made))
+        recent = [m for m, _ in self.core.received_rows.values() if m.since_us > 0]
+        addresses = {m.address: self.core.received_rows[m.address][1] for m in recent}
+        later = (replace(m, since_us=min(now, m.since_us + self.stamps.ahead_us)) for m in recent)
+        if recent:
+            self.core.list_changed(i.MembersChanged(i.ListKind.CHANGE, tuple(later)), addresses)
 
     def _changes(self, event: dict[str, Any]) -> list[Callable[[], None]]:
         """What an event asks for; KeyError, ValueError, TypeError or AttributeError: it cannot be read."""
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -451,6 +451,7 @@
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
         self.next_connection = partial(next, itertools.count(1))  # numbers of connections, for the logs
         self.tally, self.stalls = Tally(), StallWatch(time.monotonic())
+        self.accept_failures = 0
         self.accept_failing_since = (
             0.0  # monotonic: connections that wait have not been accepted since; else 0
         )
@@ -538,8 +539,7 @@
             try:
                 self._admit(sock.accept()[0])
             except BlockingIOError:
-                self.accept_failures = 0
-        self.accept_failing_since = 0.0
+                self.accept_failing_since = 0.0
                 await readable(loop, sock)
                 continue
             except OSError as error:
