--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -16,6 +16,7 @@
 
 from onyxwick import interface as i
 from onyxwick.net import coordinator, fastcgi, resp
+from onyxwick.net.buffer import Buffer
 from onyxwick.net.coordinator import Coordinator
 from onyxwick.net.front import Front
 from onyxwick.net.listening import listen
@@ -327,3 +328,32 @@
         assert _told_ms(await ground.read(conn, f"{2:016x}".encode())) > 200
 
     played(play)
+
+
+@pytest.mark.parametrize("room", [2048, 7])
+def test_a_call_that_waited_to_be_accepted_has_waited(room: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Also where it is read in pieces of a few bytes."""
+
+    def receive_now(buffer: Buffer, sock: socket.socket) -> bool:
+        data = sock.recv(room)
+        buffer.feed(data)
+        return bool(data)
+
+    monkeypatch.setattr(Buffer, "receive_now", receive_now)
+
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        door = listen(("127.0.0.1", 0))
+        client = socket.create_connection(door.getsockname())
+        ground.opened += [door, client]
+        client.sendall(call(1, more={"HTTP_X_TIMEOUT_MS": "1000"}))
+        sent = time.monotonic()
+        flaky = FailingListener(door, *[errno.ENOMEM] * 8)
+        ground.tasks.append(loop.create_task(ground.front.accept(flaky)))  # type: ignore[arg-type]
+        ground.tasks.append(loop.create_task(ground.front.watch_turns()))
+        conn = await ground.accepted(cache)
+        told = _told_ms(await ground.read(conn, f"{1:016x}".encode()))
+        assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
+
+    played(play)
