--- a/onyxwick/lab/soak/clients.py
+++ b/onyxwick/lab/soak/clients.py
@@ -125,7 +125,7 @@
         connection.asked += 1
         connection.used_at = asyncio.get_running_loop().time()
         call.sent_us = self.clock()
-        self.records.calls[call.id] = call
+        self.records.calls[call.id] = connection.calls[call.id] = call
         if rng.random() < (0.7 if director in self.leaving else LEAVES):
             await self._leave(connection, number, future, call)
             return
@@ -160,6 +160,7 @@
     ) -> None:
         """Wait for a moment, then cancel or close, unless the answer has come."""
         await asyncio.wait([future], timeout=self.random.choice((0.0, 0.005, 0.03, 0.15, 0.5)))
+        connection.calls.pop(call.id, None)
         if future.done():
             self._note(connection, future, call)
             return
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -123,7 +123,10 @@
         while not self.ending and await self.parser.buffer.receive_late(loop, self.sock):
             faults = self.faults
             self._take_or_fail()
-            self.not_read_since = time.monotonic() if self._pauses(faults) else 0.0
+            if self._pauses(faults):
+                self.not_read_since = self.not_read_since or time.monotonic()
+            else:
+                self._all_read()
             while self.outbox.pending > PAUSE_BYTES and not self.ending:
                 if await self._rest(self.outbox.drained.wait(), LOOK_S):
                     return
@@ -131,11 +134,15 @@
                 pause = asyncio.sleep(FAULT_PAUSE_S * self.faults)
                 if await self._rest(pause, FAULT_PAUSE_S * self.faults):
                     return
-            if not unread(self.sock):
-                self.not_read_since = 0.0  # nothing has come meanwhile
+            self._all_read()
         if self.ending:
             await self._end()
 
+    def _all_read(self) -> None:
+        """What comes from now on has not waited, unless more of what has stands in the socket."""
+        if self.not_read_since and not unread(self.sock):
+            self.not_read_since = 0.0
+
     def _pauses(self, faults: int) -> bool:
         """Is nothing read for a while, after what was just taken?"""
         return not self.ending and (self.outbox.pending > PAUSE_BYTES or self.faults > faults)
