--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -357,3 +357,26 @@
         assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
 
     played(play)
+
+
+def test_a_call_that_waited_for_a_process_to_accept_it_has_waited() -> None:
+    """As on a listening socket that the platform holds while one process has been killed."""
+
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        door = listen(("127.0.0.1", 0))
+        client = socket.create_connection(door.getsockname())
+        ground.opened += [door, client]
+        client.sendall(call(1, more={"HTTP_X_TIMEOUT_MS": "1000"}))
+        sent = time.monotonic()
+        await asyncio.sleep(0.4)
+        ground.front.stalls.turn(time.monotonic())  # a front that has just begun
+        ground.tasks.append(loop.create_task(ground.front.watch_turns()))
+        await asyncio.sleep(0.1)
+        ground.tasks.append(loop.create_task(ground.front.accept(door)))
+        conn = await ground.accepted(cache)
+        told = _told_ms(await ground.read(conn, f"{1:016x}".encode()))
+        assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
+
+    played(play)
