--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -287,7 +287,7 @@
         self.lifecycles[request.id] = lifecycle
         self.invariants.request_started(
             request.id, request.class_name, request.group, request.object,
-            request.arrived_us + request.timeout_us,
+            request.arrived_us + request.timeout_us, self.now(),
         )  # fmt: skip
         self.idle.clear()
         return lifecycle
--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -35,6 +35,7 @@
 HELD_RULE_US = 550_000  # the drain's grace and slack, which a command of the operators does not have
 TERM_CONNECTS_S, TERM_ASKS_S = 0.3, 0.2  # after SIGTERM new connections, then requests still come for so long
 DRAIN_CONNECTS_S = 0.2
+ACCEPT_AGAIN_US = 60_000  # until it is tried again after an error
 DOWN_S = 0.2
 CALL_TRIES = 20
 PURGE_DONE_S = 5.0
@@ -103,7 +104,10 @@
         await self._calls(fault, director, {Field.CLOCK_OFFSET_NS: step * 1_000_000_000})
 
     async def _accept(self, fault: Fault, director: SoakDirector) -> None:
+        begun = self.soak.clock()
         await self._calls(fault, director, {Field.ACCEPT_ERRNO: _drawn(fault, ACCEPT_ERRORS)})
+        ended = self.soak.clock() + ACCEPT_AGAIN_US
+        self.soak.records.unaccepted.append(Down(director.number, begun, ended))
 
     async def _socket(self, fault: Fault, director: SoakDirector) -> None:
         await self._calls(fault, director, {Field.SOCKET_ERRNO: _drawn(fault, SOCKET_ERRORS)})
--- a/onyxwick/lab/soak/clients.py
+++ b/onyxwick/lab/soak/clients.py
@@ -130,7 +130,7 @@
             await self._leave(connection, number, future, call)
             return
         await self._wait(connection, future, call)
-        if not call.answers and not call.fresh and self._crossed(connection, call):
+        if not (call.answers or call.fresh or call.left_us) and self._crossed(connection, call):
             await self._again(director, address, params, call)
 
     async def _write(
