A connection's calls count from its coming up where it waited to be accepted

Change: Front._came_up asks the system how long a connection has been up when it is accepted (tcpi_last_data_sent, as nothing was sent on it yet); from 20 ms on what is read first counts from then, or from the last bytes where one call was read. It replaces the look at the first read.

--- a/onyxwick/lab/soak/oracle.py
+++ b/onyxwick/lab/soak/oracle.py
@@ -82,11 +82,16 @@
             due = call.sent_us + call.timeout_us
             if not call.answers:
                 yield Finding("lost", _told(call))
-            elif call.ended_us > due + LATE_US + NOISE_US + self.late.around(
-                call.ended_us
-            ) + self._stopped_us(call.director, call.sent_us, call.ended_us):
+            elif call.ended_us > due + LATE_US + self._excused_us(call):
                 yield Finding("late answer", f"{_told(call)} {(call.ended_us - due) // 1000} ms over")
 
+    def _excused_us(self, call: Call) -> int:
+        """How much later its answer may be: what the lab took, and for how long nobody could take it in."""
+        stopped = self._stopped_us(call.director, call.sent_us, call.ended_us)
+        spans = [d for d in self.records.unaccepted if d.director == call.director and call.fresh]
+        kept_out = sum(max(0, min(call.ended_us, d.until_us) - max(call.sent_us, d.from_us)) for d in spans)
+        return NOISE_US + self.late.around(call.ended_us) + stopped + kept_out
+
     def _once(self) -> Iterator[Finding]:
         seen: set[str] = set()
         for request in self.records.ran:
--- a/onyxwick/net/buffer.py
+++ b/onyxwick/net/buffer.py
@@ -11,7 +11,8 @@
 import termios
 
 ROOM = 16_384  # least free space offered to one receive, where nothing else is said
-TCP_INFO_BYTES, LAST_DATA_RECEIVED = 60, slice(52, 56)  # of Linux's struct tcp_info: tcpi_last_data_recv, ms
+TCP_INFO_BYTES = 60  # of Linux's struct tcp_info, with tcpi_last_data_sent and tcpi_last_data_recv, both ms
+LAST_DATA_SENT, LAST_DATA_RECEIVED = slice(44, 48), slice(52, 56)
 KEPT = 65_536  # an emptied buffer larger than this is given back
 
 
@@ -34,13 +35,22 @@
 
 def seconds_since_data(sock: socket.socket) -> float | None:
     """How long ago the last bytes came to a socket, as the system counts; None where it does not tell."""
+    return _tcp_info_seconds(sock, LAST_DATA_RECEIVED)
+
+
+def seconds_since_sent(sock: socket.socket) -> float | None:
+    """How long ago the last bytes were sent, or where none were, the connection came up; None: not told."""
+    return _tcp_info_seconds(sock, LAST_DATA_SENT)
+
+
+def _tcp_info_seconds(sock: socket.socket, place: slice) -> float | None:
     try:
         told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
     except OSError:
         return None
     if len(told) < TCP_INFO_BYTES:
         return None
-    return int.from_bytes(told[LAST_DATA_RECEIVED], sys.byteorder) / 1000
+    return int.from_bytes(told[place], sys.byteorder) / 1000
 
 
 async def readable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -19,7 +19,7 @@
 from onyxwick.core.stall import STALL_S, StallWatch
 from onyxwick.counters import Counters
 from onyxwick.net import errors, fastcgi, room
-from onyxwick.net.buffer import ended, readable, seconds_since_data, unread
+from onyxwick.net.buffer import ended, readable, seconds_since_data, seconds_since_sent, unread
 from onyxwick.net.calls import OwnerFields, answer_bytes, read_request
 from onyxwick.net.listening import BACKLOG
 from onyxwick.net.outbox import Outbox, Parcel, Tally
@@ -45,7 +45,7 @@
 GIVEN_UP_MOST = 8
 """Connections given up and not closed yet before more are accepted: a close takes some turns of the loop."""
 PAUSE_BYTES = 2_000_000  # waiting on one connection: nothing more is read from it meanwhile
-FIRST_READ_S = 0.02  # between a connection's first bytes and their read, from which on it counts
+ACCEPT_WAIT_S = 0.02  # between a connection's coming up and its accept, from which on it counts
 FIRST_CALL_S = 1.0  # a connection that has just come keeps its place so long while the front closes
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 BY_CLIENT = {
@@ -72,7 +72,6 @@
         self.end: ConnectionEnd | None = None  # why it ends; None: the client has closed
         self.number = front.next_connection()
         self.calls = self.faults = 0
-        self.never_read = True
         self.not_read_since = 0.0  # monotonic: while it is not read from, or waited to be accepted; else 0
         self.poll = select.poll()
         self.poll.register(sock, select.POLLIN | select.POLLRDHUP)
@@ -207,8 +206,6 @@
 
     def _may_have_waited(self, now: float) -> float:
         """How many seconds what was just read may have stood in the socket."""
-        if self.never_read:
-            self._begin_reading(now)
         since = self.front.stalls.turn(now)
         if self.not_read_since:
             since = min(since, self.not_read_since)
@@ -218,13 +215,6 @@
         told = seconds_since_data(self.sock) if self.parser.one_call_waits() else None
         return now - since if told is None else min(now - since, told)
 
-    def _begin_reading(self, now: float) -> None:
-        """What a connection brings first may have come long before any process took the connection in."""
-        self.never_read = False
-        told = seconds_since_data(self.sock) or 0.0
-        if told > FIRST_READ_S:
-            self.not_read_since = min(self.not_read_since or now, now - told)
-
     async def _end(self) -> None:
         """Answer what is open, write the end behind it, and read on to the client's own end, bounded: a close
         over unread bytes would take the last answer along."""
@@ -612,11 +602,18 @@
             return
         self.counters.add("client.accepted")
         client = Client(self, conn)
-        client.not_read_since = self.accept_failing_since
+        client.not_read_since = self._came_up(conn)
         task = asyncio.get_running_loop().create_task(client.run())
         self.clients[client] = task
         task.add_done_callback(partial(self._gone, client))
 
+    def _came_up(self, conn: socket.socket) -> float:
+        """Since when a connection that was just accepted may have waited with a call in it; 0: it did not."""
+        told, now = seconds_since_sent(conn), time.monotonic()
+        if not told:
+            return self.accept_failing_since
+        return now - told if told > ACCEPT_WAIT_S else 0.0
+
     def _gone(self, client: Client, _: asyncio.Task[None]) -> None:
         self.clients.pop(client, None)
         self.shut.discard(client)
