--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -73,8 +73,7 @@
         self.number = front.next_connection()
         self.calls = self.faults = 0
         self.not_read_since = 0.0  # monotonic: while it is not read from, or waited to be accepted; else 0
-        self.poll = select.poll()
-        self.poll.register(sock, select.POLLIN | select.POLLRDHUP)
+        self.poll: select.poll | None = None  # of its socket, once it has asked for something
         self.born = self.used_at = self.half_since = time.monotonic()
 
     async def run(self) -> None:
@@ -155,6 +154,9 @@
         """
         if number not in self.open or self.sock.fileno() < 0:
             return False
+        if self.poll is None:
+            self.poll = select.poll()
+            self.poll.register(self.sock, select.POLLIN | select.POLLRDHUP)
         for _, events in self.poll.poll(0):
             if events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
                 self._leave_all()
