--- a/onyxwick/cli/faults.py
+++ b/onyxwick/cli/faults.py
@@ -187,8 +187,16 @@
 @click.option(
     "--shrink", type=click.IntRange(0, 200), default=0, help="Plays to find fewer faults that fail."
 )
+@click.option("--program", type=click.Path(path_type=Path), help="The tree of another revision.")
 def soak(
-    first: int, seeds: int, directors: int, minutes: float, only: str, keep: Path | None, shrink: int
+    first: int,
+    seeds: int,
+    directors: int,
+    minutes: float,
+    only: str,
+    keep: Path | None,
+    shrink: int,
+    program: Path | None,
 ) -> None:
     """Real directors under overlapping faults of calls, clocks, signals, feeds, caches and clients.
 
@@ -199,7 +207,7 @@
 
     kept = tuple(int(number) for number in only.split(",")) if only else None
     try:
-        reports = play_all(range(first, first + seeds), directors, minutes * 60, kept, keep, shrink)
+        reports = play_all(range(first, first + seeds), directors, minutes * 60, kept, keep, shrink, program)
         codes = set()
         for report in reports:
             click.echo(json.dumps(report.data()))
--- a/onyxwick/lab/soak/process.py
+++ b/onyxwick/lab/soak/process.py
@@ -29,8 +29,8 @@
 class Process:
     """One process of a director: its log is read line by line, its counters as it ends."""
 
-    def __init__(self, name: str, folder: Path, records: Records) -> None:
-        self.name, self.records = name, records
+    def __init__(self, name: str, folder: Path, records: Records, tree: Path | None) -> None:
+        self.name, self.records, self.tree = name, records, tree
         self.log = folder / f"{name}.log"
         self.child: asyncio.subprocess.Process | None = None
         self.reading: list[asyncio.Task[None]] = []
@@ -38,7 +38,7 @@
     async def start(self, environment: dict[str, str], pass_fd: int | None) -> None:
         """Start it; RuntimeError where it cannot be."""
         self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "onyxwick", env=environment,
+            sys.executable, "-m", "onyxwick", env=environment, cwd=self.tree,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
             pass_fds=() if pass_fd is None else (pass_fd,),
         )  # fmt: skip
@@ -88,6 +88,8 @@
 class SoakDirector:
     """A director under one name. `held`: the listening socket is the lab's, and successors take it over."""
 
+    tree: Path | None = None  # of another revision, whose program is run
+
     def __init__(self, number: int, base: str, folder: Path, held: bool, records: Records) -> None:
         self.number, self.name, self.records = number, f"n{number}", records
         self.listen: Address = (f"{base}.1.{number + 1}", 5050)
@@ -138,7 +140,7 @@
         fd = None if self.held is None else self.held.fileno()
         if fd is not None:
             environment["RELAY_LISTEN_FD"] = str(fd)
-        process = Process(f"{self.name}.{self.starts}", self.folder.parent, self.records)
+        process = Process(f"{self.name}.{self.starts}", self.folder.parent, self.records, self.tree)
         await process.start(environment, fd)
         begun = asyncio.get_running_loop().time()
         while not await self._ready(process):
--- a/onyxwick/lab/soak/run.py
+++ b/onyxwick/lab/soak/run.py
@@ -96,6 +96,7 @@
     directors: int
     seconds: float
     only: tuple[int, ...] | None = None
+    tree: Path | None = None  # of another revision, whose program is run
 
     def faults(self) -> list[Fault]:
         """The faults in order of time."""
@@ -106,7 +107,8 @@
         """What plays it again."""
         only = "" if self.only is None else f" --only {','.join(map(str, self.only)) or '0'}"
         head = f"onyxwick lab faults soak --seed {self.seed} --directors {self.directors}"
-        return f"{head} --minutes {self.seconds / 60:g}{only}"
+        tree = "" if self.tree is None else f" --program {self.tree}"
+        return f"{head} --minutes {self.seconds / 60:g}{only}{tree}"
 
 
 @dataclass(slots=True)
@@ -211,6 +213,7 @@
 
     async def _director(self, number: int) -> None:
         director = SoakDirector(number, self.base, self.folder, number % HELD == HELD - 1, self.records)
+        director.tree = self.plan.tree
         director.control = Control(self.folder / f"{director.name}.control")
         director.coordinator = Coordinator((f"{self.base}.9.{number + 1}", 7070), self.clock)
         director.feed = Feed(director.coordinator)
--- a/onyxwick/lab/soak/sweep.py
+++ b/onyxwick/lab/soak/sweep.py
@@ -51,10 +51,11 @@
     only: tuple[int, ...] | None,
     keep: Path | None,
     shrink: int,
+    tree: Path | None = None,
 ) -> Iterator[Report]:
     """A report for each seed; after one that failed, that of its plan with fewer faults."""
     for seed in seeds:
-        plan = Plan(seed, directors, seconds, only)
+        plan = Plan(seed, directors, seconds, only, tree)
         report = play(plan, keep)
         yield report
         if report.findings and shrink:
