Failing tests: an attempt waits while its cache moves, or it or its source starts anew

Found by reading (list x connect, restart x queue): Link.call's check asks Members.is_still_valid, which knows names and states alone. A call queued on a connection to the address that a cache had goes there once it comes up, though another cache may have that address by then; what was decided for a warm cache goes to it cold, beside its budget.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -754,3 +754,42 @@
 
     monkeypatch.setattr(front.Front, "_admit", counting)
     played(play)
+
+
+# ---- caches that move or start anew while an attempt waits ------------------------------------------------
+
+
+def test_an_attempt_that_waits_for_a_connection_is_not_sent_to_the_address_that_its_cache_had() -> None:
+    """The address may be another cache's by now."""
+
+    async def play(ground: Ground) -> None:
+        (let_up,) = ground.held("c0")
+        _on_arrival(ground, "c0")
+        ground.start()
+        await ground.until(lambda: ground.caches.links.get("c0"))
+        ground.list(i.State.READY, "c0", ("127.0.0.1", 1))
+        await let_up()
+        await ground.until(lambda: ground.script.ends() == [i.Status.NOT_SENT])
+
+    played(play)
+
+
+@pytest.mark.parametrize("restarted", ["member", "source"])
+def test_an_attempt_decided_before_a_cache_started_anew_is_decided_anew(restarted: str) -> None:
+    """What a warm cache could take is too much for a cold one."""
+
+    async def play(ground: Ground) -> None:
+        (let_up,) = ground.held("c0")
+        source = ground.cache("p0").getsockname()
+        address = ground.members.addresses["c0"]
+        fetch = i.Fetch(f"{1:016x}", "c0", "p0", 0, 0, 0, i.FillFlag.NONE)
+        ground.script.arrived = lambda request: [fetch]
+        ground.start()
+        await ground.until(lambda: ground.caches.links.get("c0"))
+        name, at = ("c0", address) if restarted == "member" else ("p0", source)
+        row = i.Member(name, "edge-1", "box", 0, i.State.READY, 6.0, ground.core.now())
+        ground.core.list_changed(i.MembersChanged(i.ListKind.CHANGE, (row,)), {name: at})
+        await let_up()
+        await ground.until(lambda: ground.script.ends() == [i.Status.NOT_SENT])
+
+    played(play)
