A send asks whether its cache is the same start at the same address

Change: an attempt carries what it was decided on (Members.standing: purges received, starts of cache and source); the guard at the send compares it, and a connection asks whether its address is still its member's.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -11,8 +11,8 @@
 from onyxwick import logs
 from onyxwick.core.clock import steady_us
 from onyxwick.core.invariants import AttemptBegun, Invariants, Violation
-from onyxwick.core.lifecycles import AttemptFinished, ClientDeparted, Decided, RequestLifecycle
-from onyxwick.core.members import Members
+from onyxwick.core.lifecycles import AttemptFinished, ClientDeparted, Decided, Mail, RequestLifecycle
+from onyxwick.core.members import Members, Standing
 from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
 from onyxwick.core.reasons import Refusal
 from onyxwick.counters import Counters
@@ -108,11 +108,16 @@
             elif isinstance(action, i.Subscribe | i.AskList):
                 pass  # the coordinator's events come unasked
             elif lifecycle := self.lifecycles.get(action.request):
-                # Decided now, however late it is carried out: a purge may be received in between.
-                ordered = isinstance(action, i.Attempt | i.Fetch)
-                lifecycle.mailbox.put(
-                    Decided(action, self.members.purges_received) if ordered else action  # type: ignore[arg-type]
-                )
+                lifecycle.mailbox.put(self._as_decided(action))
+
+    def _as_decided(self, action: i.Action) -> Mail:
+        """An attempt is decided now, however late it is carried out: news may be received in between."""
+        if isinstance(action, i.Attempt):
+            return Decided(action, self.members.standing(action.member, None))
+        if isinstance(action, i.Fetch):
+            source = None if action.source == action.member else action.source
+            return Decided(action, self.members.standing(action.member, source))
+        return action
 
     def _timer(self, at: int, token: str) -> None:
         # A timer never reaches the module early: it would find nothing due and not ask again.
@@ -393,7 +398,7 @@
         log.info("attempt again", request=lifecycle.request.id, attempt=number, after=reason)
 
     def may_send(
-        self, lifecycle: RequestLifecycle, number: int, member: str, source: str | None, decided: int
+        self, lifecycle: RequestLifecycle, number: int, member: str, source: str | None, decided: Standing
     ) -> bool:
         """The one guard at the moment of an attempt's send, however long it waited for a connection, a
         durable intent or room in a socket: is it still wanted, may it be a repeat, is its way still open?"""
@@ -417,7 +422,7 @@
         return kind.repeat is i.Repeat.KEYED and self.now() - min(ran) < kind.window_us - margin
 
     def _order(self, lifecycle: RequestLifecycle, mail: Decided, number: int) -> Order:
-        request, action, decided = lifecycle.request, mail.action, mail.purges_received
+        request, action, decided = lifecycle.request, mail.action, mail.standing
         left = request.arrived_us + request.timeout_us - self.now()
         timeout = min(left, action.timeout_us) if action.timeout_us else left
         alone = request.class_name in self.once
--- a/onyxwick/core/lifecycles.py
+++ b/onyxwick/core/lifecycles.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from onyxwick import interface as i
+from onyxwick.core.members import Standing
 from onyxwick.core.model import Outcome, Request, Transport
 
 
@@ -30,10 +31,10 @@
 
 @dataclass(slots=True)
 class Decided:
-    """An attempt that the module has ordered, after so many purges had been received."""
+    """An attempt that the module has ordered, and what it was decided on."""
 
     action: i.Attempt | i.Fetch
-    purges_received: int
+    standing: Standing
 
 
 Mail = i.Action | Decided | AttemptFinished | ClientDeparted
--- a/onyxwick/core/members.py
+++ b/onyxwick/core/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from onyxwick import interface as i
 from onyxwick.core.model import Request
@@ -10,6 +11,15 @@
 PURGES_KEPT_US = 10_000_000  # no send waits that long, so older purges bind none
 
 
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What an attempt was decided on: the purges received by then, and the starts of the processes meant."""
+
+    purges_received: int
+    member_since_us: int
+    source_since_us: int
+
+
 class Members:
     """Members by id. The address is looked up at each send: another member may have had it before."""
 
@@ -64,11 +74,21 @@
         listed = self.listed.get(member)
         return listed is not None and listed.state is i.State.READY and member not in self.excluded
 
-    def is_still_valid(self, member: str, source: str | None, request: Request, decided: int) -> bool:
-        """May be sent now what was decided as `decided` purges had been received? A drain or a purge may have
-        been received in between."""
+    def standing(self, member: str, source: str | None) -> Standing:
+        """What an attempt that is decided now is decided on."""
+        return Standing(self.purges_received, self._since(member), self._since(source))
+
+    def _since(self, member: str | None) -> int:
+        listed = self.listed.get(member) if member is not None else None
+        return listed.since_us if listed is not None else 0
+
+    def is_still_valid(self, member: str, source: str | None, request: Request, decided: Standing) -> bool:
+        """May what was decided then be sent now? A drain, a start or a purge may have been received in
+        between."""
         if not self.ready(member) or (source is not None and not self.ready(source)):
             return False
+        if self._since(member) != decided.member_since_us or self._since(source) != decided.source_since_us:
+            return False  # what a warm one bears may be too much for one that has just started
         of_group = self.purge_times.get((request.group, None))
         of_object = self.purge_times.get((None, request.object))
-        return all(purge is None or purge[1] <= decided for purge in (of_group, of_object))
+        return all(purge is None or purge[1] <= decided.purges_received for purge in (of_group, of_object))
--- a/onyxwick/net/cache_link.py
+++ b/onyxwick/net/cache_link.py
@@ -90,7 +90,7 @@
         call = Call(request_id, PendingWrite(b""), future, now, order.request.held_tag, order.alone)
         call.write = PendingWrite(
             b"",
-            lambda: order.left_us() > 0 and order.is_still_valid(),
+            lambda: self._leads_to_member() and order.left_us() > 0 and order.is_still_valid(),
             lambda: self._dropped(call),
             render=lambda: request_bytes(order),
             size=COMMAND_BYTES + len(order.request.body),
@@ -101,6 +101,10 @@
         self.writes.post(call.write)
         return call
 
+    def _leads_to_member(self) -> bool:
+        """Is its address still its member's? Another one may have it by now."""
+        return self.caches.members.addresses.get(self.member) == self.address
+
     def _dropped(self, call: Call) -> None:
         self.calls.pop(call.id, None)
         call.settle(Outcome(i.Status.NOT_SENT))
