--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -383,3 +383,21 @@
         assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
 
     played(play)
+
+
+def test_a_call_that_came_during_a_long_turn_has_waited() -> None:
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        client = await ground.client()
+        await loop.sock_sendall(client, call(1, path="/ping"))
+        await ground.read(client, b"200 OK")
+        client.send(call(2, more={"HTTP_X_TIMEOUT_MS": "1000"}))
+        client.send(call(3, path="/ping"))  # so that the last bytes' arrival says nothing of the first
+        sent = time.monotonic()
+        time.sleep(0.4)  # a list that is long, or a process that stood still
+        conn = await ground.accepted(cache)
+        told = _told_ms(await ground.read(conn, f"{2:016x}".encode()))
+        assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
+
+    played(play)
