Failing test: two calls that waited to be accepted, read in short pieces

Of two calls that waited in one socket, the first read brought the first one alone, so the arrival of the last bytes was taken for its own.

--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -9,7 +9,7 @@
 import re
 import socket
 import time
-from functools import partial
+from functools import partial, partialmethod
 from typing import Any
 
 import pytest
@@ -330,16 +330,17 @@
     played(play)
 
 
+def _receive_piece(buffer: Buffer, sock: socket.socket, room: int) -> bool:
+    data = sock.recv(room)
+    buffer.feed(data)
+    return bool(data)
+
+
 @pytest.mark.parametrize("room", [2048, 7])
 def test_a_call_that_waited_to_be_accepted_has_waited(room: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """Also where it is read in pieces of a few bytes."""
 
-    def receive_now(buffer: Buffer, sock: socket.socket) -> bool:
-        data = sock.recv(room)
-        buffer.feed(data)
-        return bool(data)
-
-    monkeypatch.setattr(Buffer, "receive_now", receive_now)
+    monkeypatch.setattr(Buffer, "receive_now", partialmethod(_receive_piece, room=room))
 
     async def play(ground: Ground) -> None:
         cache, loop = ground.cache("c0"), asyncio.get_running_loop()
@@ -360,9 +361,13 @@
 
 
 @pytest.mark.parametrize("followed", [False, True])
-def test_a_call_that_waited_for_a_process_to_accept_it_has_waited(followed: bool) -> None:
+@pytest.mark.parametrize("room", [2048, 64])
+def test_a_call_that_waited_for_a_process_to_accept_it_has_waited(
+    room: int, followed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """As on a listening socket that the platform holds while one process has been killed; `followed`: by
-    another call on the same connection right before it is accepted."""
+    another call on the same connection right before it is accepted; `room`: of each read."""
+    monkeypatch.setattr(Buffer, "receive_now", partialmethod(_receive_piece, room=room))
 
     async def play(ground: Ground) -> None:
         cache, loop = ground.cache("c0"), asyncio.get_running_loop()
