The last bytes' arrival counts for a call only where nothing else stands in its socket

Change: Client._may_have_waited asks whether more is unread. Measured: test_a_call_that_waited_for_a_process[64-True], red on the commit before, passes with its file.

--- a/onyxwick/net/client.py
+++ b/onyxwick/net/client.py
@@ -197,7 +197,8 @@
         if since >= now:
             return 0.0
         # The system knows when the last bytes came; with calls before them in one read that is not enough.
-        told = seconds_since_data(self.sock) if self.parser.one_call_waits() else None
+        alone = self.parser.one_call_waits() and not unread(self.sock)
+        told = seconds_since_data(self.sock) if alone else None
         return now - since if told is None else min(now - since, told)
 
     async def _end(self) -> None:
