--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -277,12 +277,17 @@
     return client, conn
 
 
-def test_no_attempt_begins_after_a_long_turn_for_a_client_that_left_during_it() -> None:
+@pytest.mark.parametrize("closing", [False, True])
+def test_no_attempt_begins_after_a_long_turn_for_a_client_that_left_during_it(closing: bool) -> None:
+    """Also while the front closes, for a drain or at the end."""
+
     async def play(ground: Ground, end: str) -> None:
         cache = ground.cache("c0")
         client, conn = await _asked(ground, cache)
         second = f"{2:016x}"
         ground.script.timer = lambda: ask(second, "c0")
+        if closing:
+            ground.front.close(True)
         if end == "close":
             client.close()
         else:
@@ -406,3 +411,29 @@
         assert told <= 1000 - 1000 * (time.monotonic() - sent) + 150
 
     played(play)
+
+
+def test_a_second_attempt_is_told_the_time_that_is_left_then() -> None:
+    """A retry after an error, and a hedge beside an attempt that is out."""
+
+    async def play(ground: Ground, hedge: bool) -> None:
+        first, second, loop = ground.cache("c0"), ground.cache("c1"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        lifecycle = ground.start(timeout_us=1_000_000)
+        name = lifecycle.request.id
+        conn = await ground.accepted(first)
+        await ground.read(conn, name.encode())
+        await asyncio.sleep(0.4)
+        if hedge:
+            ground.script.timer = lambda: ask(name, "c1")
+            ground.core.handle(i.TimerFired("hedge"))
+        else:
+            ground.script.ended = lambda request, status: (
+                ask(request, "c1") if status is i.Status.ERROR else []
+            )
+            await loop.sock_sendall(conn, resp.command(name.encode(), b"failed", b"-", b""))
+        told = _told_ms(await ground.read(await ground.accepted(second), name.encode()))
+        assert told <= 600 + 150
+
+    for hedge in (False, True):
+        played(partial(play, hedge=hedge))
