--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
+import time
 
 from onyxwick.admin.http import HttpRequest, HttpServer
 from onyxwick.counters import Counters
@@ -49,3 +51,35 @@
     assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and b"Connection: close" in answer, answer
     assert b'{"path":"/ready"}' in answer and b"/other" not in answer
     assert first == b"" and displaced == b"1"
+
+
+class FlakySocket(socket.socket):
+    """A listening socket whose first accepts tell of connections that have ended."""
+
+    left = 40
+
+    def accept(self) -> tuple[socket.socket, object]:
+        if FlakySocket.left:
+            FlakySocket.left -= 1
+            raise ConnectionAbortedError(errno.ECONNABORTED, "Software caused connection abort")
+        return super().accept()
+
+
+def test_connections_that_ended_before_they_were_accepted_hold_up_no_caller() -> None:
+    """A caller of the door waits a second; 40 pauses of 50 ms would be two."""
+
+    async def play() -> float:
+        counters, bound = Counters(), FlakySocket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(ADDRESS)
+        bound.listen()
+        bound.setblocking(False)
+        server = HttpServer(ADDRESS, _answer, counters, most=3, patience_s=5.0, one_call=True, name="door")
+        task = asyncio.get_running_loop().create_task(server.run(bound))
+        begun = time.monotonic()
+        assert b"200 OK" in await _call(b"GET /ready HTTP/1.1\r\nHost: d\r\n\r\n")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return time.monotonic() - begun
+
+    assert asyncio.run(play()) < 0.5
