--- a/onyxwick/admin/http.py
+++ b/onyxwick/admin/http.py
@@ -14,6 +14,7 @@
 from onyxwick import logs
 from onyxwick.config.address import written
 from onyxwick.counters import Counters
+from onyxwick.net import errors
 from onyxwick.net.buffer import Buffer
 from onyxwick.net.front import ACCEPT_PAUSE_S
 from onyxwick.net.listening import listen
@@ -134,7 +135,7 @@
                         conn, _ = await loop.sock_accept(sock)
                     except OSError as error:
                         log.warning("accept failed", error=str(error))
-                        await asyncio.sleep(ACCEPT_PAUSE_S)
+                        await asyncio.sleep(ACCEPT_PAUSE_S if errors.is_exhausted(error) else 0)
                         continue
                     conn.setblocking(False)
                     if len(self.clients) >= self.most:
