A client's broken socket, looked at by the guard, does not end a cache's connection; lighter checks

Read: Client.wants runs inside the writer of a cache's connection; an error of recv in its branch for a connection that ends would have ended that writer. No test: poll tells of the error first as a rule.

--- a/onyxwick/core/invariants.py
+++ b/onyxwick/core/invariants.py
@@ -88,7 +88,7 @@
 class _Server:
     info: i.Member
     unready_since: int = 0
-    sends: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=MOST_SENDS))
+    sends: deque[tuple[int, float]] | None = None  # while it recovers: when, and how many of mean work
 
 
 def budget(allowed: float) -> float:
@@ -127,15 +127,14 @@
             if m.state is i.State.GONE:
                 self._remove(m.address, now)
                 continue
-            server = self.servers.setdefault(m.address, _Server(m))
-            if m.since_us != server.info.since_us:
-                server.sends.clear()
+            server = self.servers.get(m.address)
+            if server is None:
+                server = self.servers[m.address] = _Server(m)
+                self.removed.pop(m.address, None)
+            elif m.since_us != server.info.since_us:
+                server.sends = None
             server.info = m
-            if m.state is i.State.READY:
-                server.unready_since = 0
-            else:
-                server.unready_since = server.unready_since or now
-            self.removed.pop(m.address, None)
+            server.unready_since = 0 if m.state is i.State.READY else server.unready_since or now
 
     def _remove(self, name: str, now: int) -> None:
         if self.servers.pop(name, None) is not None:
@@ -270,16 +269,19 @@
         age = now - m.since_us
         work = self.work_us()
         if age >= rise or not work or m.weight <= 0 or m.kind == self.settings.origin_kind:
-            server.sends.clear()
+            server.sends = None
             return
         mean = sum(work.values()) / len(work)
-        while server.sends and server.sends[0][0] <= now - rules.overload_window_us:
-            server.sends.popleft()
-        server.sends.append((now, work.get(class_name, mean) / mean))
+        sends = server.sends
+        if sends is None:
+            sends = server.sends = deque(maxlen=MOST_SENDS)
+        while sends and sends[0][0] <= now - rules.overload_window_us:
+            sends.popleft()
+        sends.append((now, work.get(class_name, mean) / mean))
         share = start + (1 - start) * max(0, age) / rise
         multiple = rules.parent_overload_multiple if parent else rules.overload_multiple
         allowed = multiple * share * m.weight * rules.overload_window_us / mean
-        got = sum(cost for _, cost in server.sends)
+        got = sum(cost for _, cost in sends)
         if got > budget(allowed):
             cause = f"{got:.1f} requests of mean work in the window, {allowed:.1f} are allowed"
             self._broken_by(Rule.SLOW_START, cause, begun)
--- a/onyxwick/net/client.py
+++ b/onyxwick/net/client.py
@@ -149,11 +149,10 @@
 
     def _receive_now(self) -> None:
         """Read and take in what stands in the socket, before the reader's turn."""
-        if self.ending:
-            self._hear()
-            return
         with contextlib.suppress(OSError):  # the reader meets the same, and ends the connection
-            if self.parser.buffer.receive_now(self.sock):
+            if self.ending:
+                self._hear()
+            elif self.parser.buffer.receive_now(self.sock):
                 self._take_or_fail()
 
     async def _rest(self, until: Awaitable[object], most_s: float) -> bool:
