--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -16,6 +16,7 @@
 from onyxwick.lab.soak.process import SoakDirector
 from onyxwick.lab.soak.shim import (
     ACCEPT_ERRORS,
+    BROKEN_ERRORS,
     CONNECT_ERRORS,
     DISK_ERRORS,
     KILL_IN_WRITE,
@@ -39,7 +40,7 @@
 DOWN_S = 0.2
 CALL_TRIES = 20
 PURGE_DONE_S = 5.0
-FEED_KINDS = {Kind.FEED_LOST, Kind.FEED_SLOW}
+FEED_KINDS = {Kind.FEED_LOST, Kind.FEED_SLOW, Kind.BROKEN}
 CALL_KINDS = {Kind.RELOAD, Kind.SOCKET, Kind.CONNECT, Kind.TRANSFER, Kind.STOP, Kind.DISK}
 
 
@@ -70,6 +71,7 @@
             Kind.SOCKET: self._socket,
             Kind.CONNECT: self._connect,
             Kind.TRANSFER: self._transfer,
+            Kind.BROKEN: self._broken,
             Kind.DISK: self._disk,
             Kind.STOP: self._stop,
             Kind.TERM: self._end,
@@ -120,6 +122,9 @@
         fields[Field.INTERRUPTED] = (0, 5, 30)[fault.draw // 8 % 3]
         await self._calls(fault, director, fields)
 
+    async def _broken(self, fault: Fault, director: SoakDirector) -> None:
+        await self._calls(fault, director, {Field.BROKEN_ERRNO: _drawn(fault, BROKEN_ERRORS)})
+
     async def _disk(self, fault: Fault, director: SoakDirector) -> None:
         begun = self.soak.clock()
         self.disk_since[director.number].append(begun)
--- a/onyxwick/lab/soak/plan.py
+++ b/onyxwick/lab/soak/plan.py
@@ -23,6 +23,7 @@
     SOCKET = "socket"
     CONNECT = "connect"
     TRANSFER = "transfer"  # short reads and writes, EINTR
+    BROKEN = "broken"  # connections to caches and the feed break, with errors of the network
     DISK = "disk"
     STOP = "stop"  # SIGSTOP, SIGCONT
     TERM = "term"
@@ -49,6 +50,7 @@
     Kind.SOCKET: (0.2, 0.5),
     Kind.CONNECT: (0.2, 0.5),
     Kind.TRANSFER: (1.0, 3.0),
+    Kind.BROKEN: (0.5, 2.0),
     Kind.DISK: (0.5, 3.0),
     Kind.STOP: (0.05, 0.35),
     Kind.FEED_LOST: (0.5, 4.0),
--- a/onyxwick/lab/soak/shim.c
+++ b/onyxwick/lab/soak/shim.c
@@ -21,7 +21,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { ACCEPT, SOCKET, CONNECT, TRANSFER, DISK, WAIT, FAULTS };
+enum { ACCEPT, SOCKET, CONNECT, TRANSFER, DISK, WAIT, BROKEN, FAULTS };
 
 struct control {
     int64_t clock_offset_ns;
@@ -31,13 +31,16 @@
     int64_t disk_errno;      /* -1: a write goes out by half, then the process is killed */
     int64_t transfer_bytes;  /* most bytes that a receive or send moves; 0: no bound */
     int64_t interrupted;     /* waits and transfers in a hundred that are interrupted */
+    int64_t broken_errno;    /* of one transfer in BROKEN_IN on connections that this process opened */
     int64_t counts[FAULTS];
 };
 
 #define MOST_FILES 4096
+#define BROKEN_IN 8
 static volatile struct control *control;
 static const char *folder;
 static unsigned char in_folder[MOST_FILES];
+static unsigned char opened_here[MOST_FILES];
 static __thread unsigned int seed;
 
 #define REAL(name) \
@@ -71,6 +74,13 @@
     return rand_r(&seed) % 100 < control->interrupted && fails(which, EINTR);
 }
 
+static int breaks(int fd)
+{
+    if (!control || !control->broken_errno || fd < 0 || fd >= MOST_FILES || !opened_here[fd]) return 0;
+    if (!seed) seed = (unsigned int)getpid();
+    return rand_r(&seed) % BROKEN_IN == 0 && fails(BROKEN, control->broken_errno);
+}
+
 /* ---- clocks ---- */
 
 int clock_gettime(clockid_t id, struct timespec *at)
@@ -128,6 +138,7 @@
 {
     REAL(connect);
     if (control && fails(CONNECT, control->connect_errno)) return -1;
+    if (fd >= 0 && fd < MOST_FILES) opened_here[fd] = address->sa_family == AF_INET;
     return real(fd, address, size);
 }
 
@@ -142,14 +153,14 @@
 ssize_t recv(int fd, void *data, size_t size, int flags)
 {
     REAL(recv);
-    if (interrupted(TRANSFER)) return -1;
+    if (interrupted(TRANSFER) || breaks(fd)) return -1;
     return real(fd, data, bounded(size), flags);
 }
 
 ssize_t send(int fd, const void *data, size_t size, int flags)
 {
     REAL(send);
-    if (interrupted(TRANSFER)) return -1;
+    if (interrupted(TRANSFER) || breaks(fd)) return -1;
     return real(fd, data, bounded(size), flags);
 }
 
@@ -202,7 +213,7 @@
 int close(int fd)
 {
     REAL(close);
-    if (fd >= 0 && fd < MOST_FILES) in_folder[fd] = 0;
+    if (fd >= 0 && fd < MOST_FILES) in_folder[fd] = opened_here[fd] = 0;
     return real(fd);
 }
 
--- a/onyxwick/lab/soak/shim.py
+++ b/onyxwick/lab/soak/shim.py
@@ -24,14 +24,16 @@
     DISK_ERRNO = 4
     TRANSFER_BYTES = 5
     INTERRUPTED = 6
+    BROKEN_ERRNO = 7
 
 
-COUNTS = ("accept", "socket", "connect", "transfer", "disk", "wait")
+COUNTS = ("accept", "socket", "connect", "transfer", "disk", "wait", "broken")
 FIRST_COUNT = len(Field)
 KILL_IN_WRITE = -1
 ACCEPT_ERRORS = (errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO)
 SOCKET_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
 CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS)
+BROKEN_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET)
 DISK_ERRORS = (errno.ENOSPC, errno.EIO)
 
 
