Soak: a slow feed passes on what it holds when it is sound again

The lab's own fault: its relay, at 300 bytes a second for 3 s, went on delivering what had queued up for seconds after the fault's end, which the oracle took for a sound feed; by the rule the drain counts as told 7 s later at the latest.

--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -5,10 +5,11 @@
 import asyncio
 import random
 import signal
-from collections import defaultdict
+from collections import defaultdict, deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from onyxwick.lab.faults.relay import Way
 from onyxwick.lab.feed import row_of
 from onyxwick.lab.soak.clients import OBJECTS
 from onyxwick.lab.soak.model import Down, Purged, Started, Unready
@@ -295,6 +296,7 @@
                     way.cut_there = way.cut_back = False
                 else:
                     way.bytes_per_s = 0.0
+                    _pass_on(way)
                 way.changed()
 
     async def _clients_leave(self, fault: Fault, director: SoakDirector) -> None:
@@ -389,3 +391,12 @@
 
 def _drawn(fault: Fault, values: tuple[int, ...]) -> int:
     return values[fault.draw % len(values)]
+
+
+def _pass_on(way: Way) -> None:
+    """What a slow way holds back goes on now: else it would stay slow long after it is sound again."""
+    for relay in way.relays:
+        for pair in relay.pairs:
+            for end in (pair.near, pair.far):
+                end.free_at = 0.0
+                end.held = deque((0.0, data) for _, data in end.held)
