--- a/onyxwick/core/stall.py
+++ b/onyxwick/core/stall.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-STALL_S = 0.08
+STALL_S = 0.1
 """A gap between two turns from which on it counts, well under the slack of the time told to a server."""
 AFTERMATH_S = 0.05
 """What is read so long after a stall may have come in it."""
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -114,7 +114,7 @@
         """Tell the watch that the loop turns, also while nobody asks."""
         while True:
             self.stalls.turn(time.monotonic())
-            await asyncio.sleep(STALL_S / 2)
+            await asyncio.sleep(0.6 * STALL_S)
 
     def _make_room(self) -> bool:
         """End the connection that is least missed (`room.order`) to make room for a newcomer."""
