--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import socket
 import time
 from functools import partial
@@ -114,3 +115,15 @@
         assert _held(file) == ["c0"]
     finally:
         exchange.stop()
+
+
+def test_a_planned_end_waits_for_the_folder_with_commands_that_are_not_written_yet(tmp_path: Path) -> None:
+    exchange = Exchange(tmp_path, door=True)
+    file = tmp_path / f"onyxwick-orders-{exchange.config['name']}.json"
+    file.mkdir()  # in the way for 1.5 s, longer than the end takes otherwise
+    assert " 200 " in _post("/caches/disable/c0")
+    exchange.program.send_signal(signal.SIGTERM)
+    time.sleep(1.5)
+    file.rmdir()
+    exchange.stop()
+    assert _held(file) == ["c0"]
