A planned end gives the folder two seconds for commands that are not written yet

Cause: Director.run stopped the door as soon as the clients were gone, whatever stood in Door.unwritten. Change: it waits for up to 2 s while the door goes on trying, and logs what was never written.

--- a/onyxwick/lab/soak/clients.py
+++ b/onyxwick/lab/soak/clients.py
@@ -73,6 +73,7 @@
                 return
         if rng.random() < BAD and connection.transport is not None:
             connection.transport.write(_bad_call())
+            connection.asked += 1
         await self._request(director, address, connection)
 
     def _idle(self, director: int) -> SoakConnection | None:
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -50,6 +50,7 @@
 RELOAD_RETRY_S, RELOAD_TRIES = 0.2, 50  # a file that cannot be read for a moment is read again
 START_RETRY_S, START_TRIES = 0.1, 50  # the same at the start
 AGAIN_S = 0.1  # before a task of the whole director goes on after an error in it
+UNWRITTEN_S, UNWRITTEN_LOOK_S = 2.0, 0.05  # at the end, for commands that the folder does not take yet
 FIGURES_S = 0.5  # between two takings of the figures that the operators' door shows
 FINISH_S = 1.5  # after SIGTERM and the door's close: how long connections still in use are left to come free
 
@@ -240,6 +241,7 @@
             await self.leaving.wait()
             await self._drain(accepting, sock)
         if door is not None:
+            await self._until_written(door)
             door.stop()
         for task in side:
             task.cancel()
@@ -250,6 +252,14 @@
         self._enter(State.STOPPED)
         self.print_counters()
 
+    async def _until_written(self, door: Door) -> None:
+        """Give a folder that takes no write some time more: a successor is to know what was ordered."""
+        end = time.monotonic() + UNWRITTEN_S
+        while door.unwritten and time.monotonic() < end:
+            await asyncio.sleep(UNWRITTEN_LOOK_S)
+        if door.unwritten:
+            log.error("the operators' commands were never written", commands=sorted(door.unwritten)[:16])
+
     def _open_door(self, loop: asyncio.AbstractEventLoop, side: list[asyncio.Task[None]]) -> Door | None:
         """The operators' door in its own thread; Unusable where its address cannot be listened on."""
         bridge, address = self.bridge, self.config.admin
