--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -13,7 +13,7 @@
 from onyxwick.lab.feed import row_of
 from onyxwick.lab.soak.clients import OBJECTS
 from onyxwick.lab.soak.model import Down, Purged, Started, Unready
-from onyxwick.lab.soak.plan import Fault, Kind
+from onyxwick.lab.soak.plan import STEPS_S, Fault, Kind
 from onyxwick.lab.soak.process import SoakDirector
 from onyxwick.lab.soak.shim import (
     ACCEPT_ERRORS,
@@ -30,7 +30,6 @@
     from onyxwick.lab.soak.servers import SoakServer
 
 S = 1_000_000
-STEPS_S = (-3600, -30, -3, 3, 30, 3600)
 FEED_US = 300_000  # for a list or a purge to reach a director over a sound feed
 LATEST_US = 7 * S  # whatever the feed tells counts as told by then
 TROUBLED_US = 4 * S  # the same where a call of the director failed about then
