--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -56,8 +56,10 @@
         door: bool = False,
         config: str = "",
         descriptors: int = 0,
+        stdout: int | None = None,
     ) -> None:
         self.descriptors = descriptors  # the limit that the platform sets; 0: as it is
+        self.stdout = stdout  # a descriptor; None: as of the tests
         self.config = json.loads(config or (FOLDER / "config.json").read_text())
         rows = self.config["known"]["updates"][0]["endpoints"]["servers"]
         self.listeners = {row["id"]: self._listen(_address(row["addr"])) for row in rows}
@@ -89,6 +91,7 @@
             [sys.executable, "-m", "onyxwick"],
             cwd=ROOT,
             env=self.environment,
+            stdout=self.stdout,
             stderr=subprocess.PIPE,
             text=True,
             pass_fds=handed,
@@ -191,9 +194,13 @@
             self.program.send_signal(signal.SIGTERM)
         _, logged = self.program.communicate(timeout=PATIENCE_S)
         print(logged)  # shown where a test fails
+        self.close()
+        assert self.program.returncode == 0
+        return logged
+
+    def close(self) -> None:
+        """Give back the stand-ins' sockets, whatever became of the program."""
         for sock in (*self.open.values(), *self.listeners.values()):
             sock.close()
         if self.held is not None:
             self.held.close()
-        assert self.program.returncode == 0
-        return logged
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from functools import partial
 
 import pytest
 
@@ -171,3 +172,33 @@
     stamps.caught_up(now)
     stamps.purge(now + 5 * S_US, now + 25 * S_US)  # the feed was away for 20 s
     assert stamps.compared and not stamps.ahead_us
+
+
+def _known(feed_now_us: int) -> dict[str, object]:
+    """A configuration's events by the feed's clock: a start 2 s ago, purges 3 s and 0.1 s ago."""
+    row = {"id": "c0", "addr": "127.0.0.1:1", "zone": "edge-1", "kind": "box", "state": "SERVING"}
+    servers = [{**row, "weight": 6, "started_ms": (feed_now_us - 2 * S_US) // 1000}]
+    purges = [
+        {"shard": 17, "unix_ms": (feed_now_us - 3 * S_US) // 1000},
+        {"ref": "00000000000000aa", "unix_ms": (feed_now_us - 100_000) // 1000},
+    ]
+    updates = [{"index": 1, "endpoints": {"version": 1, "full": True, "servers": servers}}]
+    updates += [{"index": 2 + n, "evict": purge} for n, purge in enumerate(purges)]
+    return {"index": 3, "updates": updates}
+
+
+def test_known_purges_and_starts_have_their_ages_whatever_the_clock_says_at_the_start(
+    wall: WallClock,
+) -> None:
+    """Though no purge ever comes over the live feed."""
+
+    async def play(ground: Ground, ahead_us: int) -> None:
+        feed = Coordinator(ground.core, ground.counters)
+        feed.known(_known(wall.true_us() - ahead_us))
+        purge = next(e for e in ground.script.events if isinstance(e, i.Purged) and e.group == 17)
+        assert 2 * S_US < purge.age_us < 4 * S_US, ahead_us
+        age_us = ground.core.now() - ground.members.listed["c0"].since_us
+        assert S_US < age_us < 3 * S_US, ahead_us
+
+    for ahead_us in (HOUR_US, -HOUR_US, 8 * S_US, -8 * S_US, 0):
+        played(partial(play, ahead_us=ahead_us))
--- a/tests/test_endings_program.py
+++ b/tests/test_endings_program.py
@@ -264,3 +264,41 @@
         exchange.play(str(tmp_path / "served.txt"))
     finally:
         exchange.stop()
+
+
+def _full_pipe() -> tuple[int, int]:
+    """Both ends of a pipe that takes nothing more, as nobody reads it."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    for size in (4096, 1):
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writer, b"x" * size)
+    os.set_blocking(writer, True)
+    return reader, writer
+
+
+def _goes_on_and_ends(folder: Path, output: str) -> int:
+    """The exit code of a program that is asked for its counters, asked for an answer and told to end."""
+    reader, writer = _full_pipe() if output == "full" else os.pipe()
+    if output == "closed":
+        os.close(reader)
+    elif output == "disk full":
+        os.dup2(os.open("/dev/full", os.O_WRONLY), writer)
+    exchange = Exchange(folder, stdout=writer)
+    os.close(writer)
+    try:
+        exchange.program.send_signal(signal.SIGUSR1)
+        time.sleep(0.1)
+        assert _ping(LISTEN, PATIENCE_S) < PATIENCE_S / 2, output
+        exchange.program.send_signal(signal.SIGTERM)
+        exchange.program.communicate(timeout=PATIENCE_S)
+        return exchange.program.returncode
+    finally:
+        exchange.program.kill()
+        exchange.close()
+
+
+def test_an_output_that_takes_no_counters_neither_stops_nor_fails_the_program(tmp_path: Path) -> None:
+    for output in ("closed", "disk full", "full"):
+        assert _goes_on_and_ends(tmp_path, output) == 0, output
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import socket
 import time
 from functools import partial
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
-from onyxwick.core.clock import SteadyClock
+from onyxwick.core.clock import SteadyClock, steady_us
 from onyxwick.door import orders as o
 from onyxwick.door.lasting import Lasting
+from onyxwick.door.server import Door
 from tests.exchange import DOOR, PATIENCE_S, Exchange
 
 
@@ -127,3 +130,33 @@
     file.rmdir()
     exchange.stop()
     assert _held(file) == ["c0"]
+
+
+def _door(folder: Path) -> Door:
+    """A door that listens nowhere; its file is the one that it shares with others of the folder."""
+    known = o.Known()
+    known.add(["c0", "c1"])
+    director = SimpleNamespace(ordered=lambda orders, names: None, written=lambda ordered, written: None)
+    bound, address = socket.socket(), ("127.0.0.1", 0)
+    with bound:
+        return Door(bound, address, director, o.Orders(), known, Lasting(folder, "n1"), steady_us)
+
+
+def test_two_processes_that_write_their_file_in_the_same_moment_both_keep_their_commands(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The other one writes between this one's look at the file and its own write."""
+    first, second, replace = _door(tmp_path), _door(tmp_path), os.replace
+
+    def meanwhile(source: Path, target: Path) -> None:
+        monkeypatch.setattr(os, "replace", replace)
+        monkeypatch.setattr(os, "getpid", lambda: 1)  # the other process
+        second._order("c1", partial(o.disable, cache="c1", now=2))
+        replace(source, target)
+
+    monkeypatch.setattr(os, "replace", meanwhile)
+    first._order("c0", partial(o.disable, cache="c0", now=1))
+    for door in (second, first, second):  # as each looks ten times a second
+        door._synchronise()
+    assert first.orders.held == second.orders.held == {"c0", "c1"}
+    assert sorted(_held(tmp_path / "onyxwick-orders-n1.json")) == ["c0", "c1"]
