Known stamps count from their newest, the operators' file is written under a lock, counters never block

Causes: Coordinator.known believed stamps until a live purge showed how far the clocks are apart, which may never come; Door._synchronise read, then wrote, with nothing between two processes, whose versions were then the same, so that neither took over the other's (Lasting.write also noted a stamp that could be the other's); Director. print_counters printed to whatever stdout was.

--- a/onyxwick/core/clock.py
+++ b/onyxwick/core/clock.py
@@ -18,8 +18,6 @@
 """Whatever the feed has to tell is told this long after it happened, at the latest."""
 DELAYS_KEPT = 8
 """Purges whose delays are remembered."""
-KNOWN_DELAY_US = 10 * S_US
-"""The least age of a purge in the configuration that still says something about the clocks."""
 
 
 def wall_us() -> int:
@@ -51,37 +49,35 @@
     a purge or a start is taken for may then be too late, which costs freshness or warmth, never too early,
     which would let an outdated copy or too many requests pass:
 
-    - the least delay between a purge's stamp and its receipt, over the last few, is added to stamps, as the
-      clocks can't be further apart;
+    - the newest stamp known at the start is taken for that moment: the clocks can't be further apart;
+    - the least delay between a stamp and its receipt, over the last few, is added to stamps, for that reason;
     - what comes over a live feed is no older than the last heartbeat that told of nothing outstanding;
     - nothing lies in the future.
     """
 
     floor_us: int | None = None  # when the feed was last heard with nothing outstanding
-    _sound: bool = False  # a live purge has shown how far the clocks are apart
+    _known_offset_us: int = 0  # from the feed's clock to this one at most, as the known stamps show
     _delays: deque[int] = field(default_factory=lambda: deque(maxlen=DELAYS_KEPT))
-    ahead_us: int = 0  # by how much this process's clock proved to be ahead of the feed's at the start
     _starts: dict[str, tuple[int, int]] = field(
         default_factory=dict
     )  # cache: its stamp, what it was taken for
 
+    def begin(self, newest_us: int, now: int) -> None:
+        """The newest stamp of all that is known at the start; before any of them is turned into a time."""
+        self._known_offset_us = now - newest_us
+        self._delays.append(now - newest_us)
+
     def caught_up(self, now: int) -> None:
         """The feed has said that nothing is outstanding: what it tells next happened after this."""
         self.floor_us = now
 
     def purge(self, stamp_us: int, now: int) -> int:
         """When a purge that was just received was made."""
-        delay = now - stamp_us
-        if self.floor_us is not None and not self._sound:
-            self._sound = True
-            # What was made after the last heartbeat is told at most so late, whatever became of the feed.
-            if delay > MOST_DELAY_US + now - self.floor_us:
-                self.ahead_us = delay
-                self._starts.clear()
-        if self.floor_us is not None or delay <= KNOWN_DELAY_US:
-            self._delays.append(delay)
+        if self.floor_us is None:
+            return min(now, stamp_us + self._offset())
+        self._delays.append(now - stamp_us)
         made = min(now, stamp_us + self._offset())
-        return made if self.floor_us is None else max(made, min(now, self.floor_us))
+        return max(made, min(now, self.floor_us))
 
     def start(self, cache: str, stamp_us: int, now: int) -> int:
         """When a cache started that a list names; 0: long ago. The same stamp gives the same time again."""
@@ -90,17 +86,14 @@
         held = self._starts.get(cache)
         if held is not None and held[0] == stamp_us:
             return held[1]
-        started = min(now, stamp_us + (self._offset() if self.floor_us is not None else 0))
-        if self.floor_us is not None and not self.ahead_us and started < self.floor_us - MOST_DELAY_US:
+        started = min(now, stamp_us + self._offset())
+        if self.floor_us is not None and started < self.floor_us - MOST_DELAY_US:
             started = now  # the list would have told of it long ago: the clocks are apart
+        elif self.floor_us is not None and not self._delays:
+            started = max(started, min(now, self.floor_us))  # nothing tells how far the clocks are apart
         self._starts[cache] = stamp_us, started
         return started
 
-    @property
-    def compared(self) -> bool:
-        """Has a live purge shown how far the clocks are apart?"""
-        return self._sound
-
     def forget(self, cache: str) -> None:
         """A cache has left the list."""
         self._starts.pop(cache, None)
@@ -111,4 +104,8 @@
             del self._starts[cache]
 
     def _offset(self) -> int:
+        """What is added to a stamp: before the feed is live the stamps are all of one moment's configuration,
+        later the feed's clock may be stepped, and nothing is taken for earlier than its stamp."""
+        if self.floor_us is None:
+            return self._known_offset_us
         return max(0, min(self._delays, default=0))
--- a/onyxwick/door/lasting.py
+++ b/onyxwick/door/lasting.py
@@ -1,13 +1,19 @@
 """The door's orders in a file of the folder that a process and its successor share (`$TMPDIR`).
 
 Written whole under a new name and moved into place, so that a reader finds the old text or the new one, never
-half of one. Read at the start, and again whenever the file has changed: what the other process was told
-binds here too. Nothing else is kept; a folder that the platform empties at each start holds nothing stale.
+half of one, and under a lock on the folder, so that of two processes that write at once neither overwrites
+what it has not read. Read at the start, and again whenever the file has changed: what the other process was
+told binds here too. Nothing else is kept; a folder that the platform empties at each start holds nothing
+stale.
 """
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
 import os
+import time
+from collections.abc import Iterator
 from dataclasses import replace
 from functools import cache
 from pathlib import Path
@@ -18,6 +24,15 @@
 from onyxwick.door.orders import Known, Orders, of_json, to_json
 
 MOST_BYTES = 1_000_000  # a larger file is no file of ours
+LOCK_TRIES, LOCK_RETRY_S = 5, 0.002  # the other process holds its lock for a read and a write
+
+
+def _lock(folder: int) -> None:
+    for _ in range(LOCK_TRIES - 1):
+        with contextlib.suppress(BlockingIOError):
+            return fcntl.flock(folder, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        time.sleep(LOCK_RETRY_S)
+    fcntl.flock(folder, fcntl.LOCK_EX | fcntl.LOCK_NB)
 
 
 @cache
@@ -37,6 +52,17 @@
         self.path = folder / f"onyxwick-orders-{name or 'director'}.json"
         self.seen: tuple[int, int, int] | None = None  # inode, size and time of the text last read or written
 
+    @contextlib.contextmanager
+    def locked(self) -> Iterator[None]:
+        """Keep the other process of an upgrade from writing between a read and a write of this one; OSError
+        where it does not let go (it may be stopped) or the folder cannot be opened. A kill lets go."""
+        folder = os.open(self.path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            _lock(folder)
+            yield
+        finally:
+            os.close(folder)
+
     def _stamp(self) -> tuple[int, int, int] | None:
         try:
             told = os.stat(self.path)
--- a/onyxwick/door/server.py
+++ b/onyxwick/door/server.py
@@ -155,15 +155,22 @@
         if self.lasting is None:
             return
         try:
-            self._take_over(self.lasting)
             if self.unwritten:
-                written = self.lasting.write(self.orders, self.known)
-                self.unwritten.clear()
-                self.director.written(self.orders.version, written)
+                self._write(self.lasting)
+            else:
+                self._take_over(self.lasting)
         except OSError as error:
             self.counters.add("door.unsaved" if self.unwritten else "door.unreadable")
             log.warning("the door's file fails, and is tried again", error=str(error))
 
+    def _write(self, lasting: Lasting) -> None:
+        """This one's commands on top of what the other process wrote, which can write nothing meanwhile."""
+        with lasting.locked():
+            self._take_over(lasting)
+            written = lasting.write(self.orders, self.known)
+        self.unwritten.clear()
+        self.director.written(self.orders.version, written)
+
     def _take_over(self, lasting: Lasting) -> None:
         try:
             read = lasting.read()
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -200,7 +200,7 @@
 
     def print_counters(self) -> None:
         door = self.door_counters
-        print(self.counters.text() if door is None else self.counters.merged(door).text(), flush=True)
+        logs.print_lines(self.counters.text() if door is None else self.counters.merged(door).text())
 
     async def run(self, handed: socket.socket | None = None) -> None:
         """STARTING to STOPPED; returns when everything taken is answered.
--- a/onyxwick/logs.py
+++ b/onyxwick/logs.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import select
 import sys
+import threading
 import time
 from collections.abc import Callable, MutableMapping
 from typing import Any, TextIO, cast
@@ -53,15 +55,20 @@
 
 
 class LineStream:
-    """Standard error, for whole lines that never stop the program: a line that cannot be written at once, as
-    the disk is full, the pipe is closed or nobody empties it, is dropped and counted."""
+    """An output for whole lines that never stop the program: a line that cannot be written at once, as the
+    disk is full, the pipe is closed or nobody empties it, is dropped and counted.
+
+    Lines go past the stream's own buffer: what stands there would be tried again, and fail, at the exit.
+    """
 
     def __init__(self, stream: TextIO) -> None:
         self.stream, self.dropped, self._parts = stream, 0, list[str]()
+        self._lock = threading.Lock()  # between a look for room and the write into it
         self._poll: select.poll | None = None
         with contextlib.suppress(OSError, ValueError):  # no descriptor behind it: it never blocks
+            self._descriptor = stream.fileno()
             poll = select.poll()
-            poll.register(stream.fileno(), select.POLLOUT)
+            poll.register(self._descriptor, select.POLLOUT)
             self._poll = poll
 
     def isatty(self) -> bool:
@@ -76,17 +83,34 @@
     def flush(self) -> None:
         """Write what was given, or drop it."""
         text, self._parts = "".join(self._parts), []
-        # What is writable takes so many bytes without blocking (pipe(7), PIPE_BUF).
-        if len(text) > select.PIPE_BUF:
-            text = f"{text[: select.PIPE_BUF - 2]}\n"
         try:
-            if self._poll is not None and not self._poll.poll(0):
-                raise BlockingIOError
-            self.stream.write(text)
-            self.stream.flush()
+            if self._poll is None:
+                self.stream.write(text)
+                self.stream.flush()
+            else:
+                self._write_now(text.encode(errors="replace"), self._poll)
         except (OSError, ValueError):
             self.dropped += 1
 
+    def _write_now(self, line: bytes, poll: select.poll) -> None:
+        # What is writable takes so many bytes without blocking (pipe(7), PIPE_BUF).
+        if len(line) > select.PIPE_BUF:
+            line = line[: select.PIPE_BUF - 2] + b"\n"
+        with self._lock:
+            if not poll.poll(0):
+                raise BlockingIOError
+            os.write(self._descriptor, line)
+
+
+def print_lines(text: str) -> None:
+    """Lines on standard output, each dropped where it cannot be written at once."""
+    if sys.stdout is None:  # closed before the start
+        return
+    out = LineStream(sys.stdout)
+    for line in text.splitlines():
+        out.write(f"{line}\n")
+        out.flush()
+
 
 def set_up(stream: TextIO | None = None) -> None:
     """Text on a terminal, else JSON lines. Called once, by whichever command runs."""
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -5,8 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
-from dataclasses import replace
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Any
 
@@ -32,6 +31,7 @@
 )
 MAX_RETRY_US = 1_000_000  # a wait at most: with a connect and a silence, the feed is back well within 4 s
 MAX_LINE = 4_194_304
+MOST_STEP_US = 86_400_000_000  # this machine's clock may be behind the feed's by so much
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
 
@@ -75,6 +75,23 @@
     return i.MembersChanged(kind, tuple(members), int(told.get("version") or 0)), addresses
 
 
+def newest_stamp_us(events: Iterable[object], latest_us: int) -> int:
+    """The newest stamp in events of the feed, in microseconds of its clock; 0 where there is none. What lies
+    after `latest_us` is no stamp of a clock that was merely stepped."""
+    newest_us = 0
+    for event in events:
+        with contextlib.suppress(KeyError, ValueError, TypeError, AttributeError):  # told by `apply`
+            stamps_us = (stamp_ms * 1000 for stamp_ms in _stamps_ms(event))
+            newest_us = max(newest_us, *(at_us for at_us in stamps_us if at_us <= latest_us), 0)
+    return newest_us
+
+
+def _stamps_ms(event: Any) -> Iterator[int]:
+    yield int((event.get("evict") or {}).get("unix_ms") or 0)
+    for row in (event.get("endpoints") or {}).get("servers") or ():
+        yield int(row.get("started_ms") or 0)
+
+
 class EventFailedError(OSError):
     """An event was read and could not be applied; the connection ends, and it is asked for again."""
 
@@ -100,14 +117,15 @@
         self.first_byte_patience = Patience(SILENT_S, 2)
         self.line_patience = Patience(LINE_S, 4)
         self.failed_tries = 0  # of the next event
-        self.known_events: list[dict[str, Any]] = []  # of the configuration, until the clocks are compared
         self.gaps = 0  # connections on which the event after the next one came instead
         self.beat: Callable[[], None] | None = None  # called with each line that the feed brings
 
     def known(self, known: dict[str, Any]) -> None:
         """What the configuration tells of the time before the start."""
         events = known.get("updates") or ()
-        self.known_events = [event for event in events if isinstance(event, dict)]
+        now = self.core.now()
+        if newest_us := newest_stamp_us(events, now + MOST_STEP_US):
+            self.stamps.begin(newest_us, now)
         for event in events:
             for _ in range(APPLY_TRIES):
                 with contextlib.suppress(EventFailedError):
@@ -139,29 +157,6 @@
                 raise EventFailedError(f"event {index} is to be told again") from error
         self.last, self.failed_tries = index, 0
         self.core.feed_observed(index)
-        if self.known_events and self.stamps.compared:
-            self._put_right()
-
-    def _put_right(self) -> None:
-        """The first live purge has shown how far the feed's clock is from this one: where that is far, what
-        the configuration told is taken in once more with its true ages, as far as it still binds."""
-        events, self.known_events = self.known_events, []
-        if not self.stamps.ahead_us:
-            return
-        now, settles_us = self.core.now(), self.core.settings.rules.purge_settles_us
-        log.warning("the clock was ahead at the start", ahead_s=self.stamps.ahead_us // 1_000_000)
-        for event in events:
-            evict = event.get("evict") or {}
-            made = int(evict.get("unix_ms") or 0) * 1000 + self.stamps.ahead_us
-            if now - made <= settles_us:
-                group = -1 if evict.get("shard") is None else int(evict["shard"])
-                name = None if evict.get("ref") is None else str(evict["ref"])
-                self.core.purged(group, name, min(now, made))
-        recent = [m for m, _ in self.core.received_rows.values() if m.since_us > 0]
-        addresses = {m.address: self.core.received_rows[m.address][1] for m in recent}
-        later = (replace(m, since_us=min(now, m.since_us + self.stamps.ahead_us)) for m in recent)
-        if recent:
-            self.core.list_changed(i.MembersChanged(i.ListKind.CHANGE, tuple(later)), addresses)
 
     def _changes(self, event: dict[str, Any]) -> list[Callable[[], None]]:
         """What an event asks for; KeyError, ValueError, TypeError or AttributeError: it cannot be read."""
