Failing tests: a call written slowly, a drain told while the process stood still

Found by reading. After a stop of 0.7 s with 400 purges and then a drain in the feed's socket the call that stood in its client's goes to the drained cache: the feed is read a line a turn of the loop, and a send needs five turns.

--- a/tests/ground.py
+++ b/tests/ground.py
@@ -19,6 +19,7 @@
 from onyxwick.counters import Counters
 from onyxwick.net import fastcgi
 from onyxwick.net.caches import Caches
+from onyxwick.net.coordinator import Coordinator
 from onyxwick.net.front import Front
 from onyxwick.net.listening import listen
 from tests.world import SETTINGS, member
@@ -74,6 +75,7 @@
         self.opened = list[socket.socket]()
         self.tasks = list[asyncio.Task[None]]()
         self.asked = 0
+        self.accepting = False
 
     def cache(self, name: str, backlog: int = 64) -> socket.socket:
         sock = socket.socket()
@@ -100,6 +102,13 @@
 
         yield let_up
 
+    def follow(self, address: tuple[str, int]) -> Coordinator:
+        """The director follows the feed at this address from now on."""
+        follower = Coordinator(self.core, self.counters)
+        follower.move(address)
+        self.tasks.append(asyncio.get_running_loop().create_task(follower.follow()))
+        return follower
+
     async def accepted(self, sock: socket.socket) -> socket.socket:
         async with asyncio.timeout(PATIENCE_S):
             conn, _ = await asyncio.get_running_loop().sock_accept(sock)
@@ -135,7 +144,8 @@
     async def client(self) -> socket.socket:
         """A client of the front, which accepts from now on."""
         loop = asyncio.get_running_loop()
-        if not self.tasks:
+        if not self.accepting:
+            self.accepting = True
             self.door = listen(("127.0.0.1", 0))
             self.opened.append(self.door)
             self.tasks.append(loop.create_task(self.front.accept(self.door)))
--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -437,3 +437,51 @@
 
     for hedge in (False, True):
         played(partial(play, hedge=hedge))
+
+
+def test_a_call_that_is_written_slowly_is_read_to_its_end() -> None:
+    """It takes 3 s from its connection's first byte to its last one, and never rests for long."""
+
+    async def play(ground: Ground) -> None:
+        client, loop = await ground.client(), asyncio.get_running_loop()
+        ground.tasks.append(loop.create_task(ground.front.sweep()))
+        text, pieces = call(1, path="/ping"), 17
+        for n in range(pieces):
+            await asyncio.sleep(0.18)  # out of step with the sweep, which passes over what is unread
+            client.send(text[n * len(text) // pieces : (n + 1) * len(text) // pieces])
+        await ground.read(client, b"200 OK")
+
+    played(play)
+
+
+def _purge_lines(first: int, count: int) -> bytes:
+    events = ({"index": first + n, "evict": {"shard": 1, "unix_ms": 1}} for n in range(count))
+    return b"".join(json.dumps(event).encode() + b"\n" for event in events)
+
+
+def test_after_a_stop_nothing_goes_to_a_cache_whose_drain_was_told_meanwhile() -> None:
+    """The drain stands in the feed's socket behind much else, and a call in its client's."""
+
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        ground.script.arrived = lambda request: ask(request, "c0")
+        feed = listen(("127.0.0.1", 0))
+        ground.opened.append(feed)
+        follower = ground.follow(feed.getsockname())
+        told = await ground.accepted(feed)
+        await ground.read(told, b"follow 0\n")
+        client = await ground.client()
+        await loop.sock_sendall(client, call(1))
+        conn = await ground.accepted(cache)  # a connection to the cache is up, and at rest after this
+        await ground.read(conn, f"{1:016x}".encode())
+        await loop.sock_sendall(conn, resp.command(f"{1:016x}".encode(), b"data", FOUND, b"x"))
+        await ground.read(client, b"200 OK")
+        row = {"id": "c0", "addr": "127.0.0.1:1", "zone": "edge-1", "kind": "box", "state": "DRAINING"}
+        drain = {"index": 401, "endpoints": {"version": 2, "servers": [row]}}
+        client.send(call(2))
+        told.send(_purge_lines(1, 400) + json.dumps(drain).encode() + b"\n")
+        time.sleep(0.7)  # stopped, for longer than a drain's grace
+        await ground.until(lambda: len(ground.script.ends()) == 2)
+        assert ground.script.ends()[1] is i.Status.NOT_SENT and follower.last == 401
+
+    played(play)
