The feed's news come before sends after a stop, a call written slowly has its time; a failing test

Causes: Client.overstays counted half a call from its connection's coming up; Coordinator._read_lines gave the loop a turn after each line, and its limit on silence was over at once after a stop of 2.2 s, whatever stood in the socket. Changes: half a call ends 2 s after its last byte, 10 s after its first; lines that came together are taken in for 5 ms at once; a limit that runs out over unread bytes is no silence; Core.may_send lets the feed catch up after each stall (StallWatch is the core's now). Moved lists: the address is asked after the catch-up. Failing test: after a stop of 0.6 s the module's timer fires before an answer that stands in the socket.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 from onyxwick.core.members import Members, Standing
 from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
 from onyxwick.core.reasons import Refusal
+from onyxwick.core.stall import StallWatch
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
 
@@ -52,6 +54,9 @@
         self.durable: Durable | None = None  # what lasts over restarts, where the installation has a disk
         # How the list is to be shown to the module, over what `durable` holds back: the operators' orders.
         self.adjust_list: Callable[[i.MembersChanged, int], i.MembersChanged] | None = None
+        self.stalls = StallWatch(time.monotonic())
+        self.catch_up: Callable[[], None] | None = None  # takes in what the feed has brought and nobody read
+        self.caught_up = 0  # stalls after which that was done
         # The list as received, before recovery and the operators' orders hold rows back.
         self.received_rows: dict[str, tuple[i.Member, tuple[str, int]]] = {}
         self.lifecycles: dict[str, RequestLifecycle] = {}
@@ -402,6 +407,7 @@
     ) -> bool:
         """The one guard at the moment of an attempt's send, however long it waited for a connection, a
         durable intent or room in a socket: is it still wanted, may it be a repeat, is its way still open?"""
+        self._catch_up_after_stall()
         if lifecycle.client_departed or lifecycle.answered or not self.may_repeat(lifecycle, number):
             return False
         if not lifecycle.request.is_wanted():
@@ -409,6 +415,15 @@
             return False
         return self.members.is_still_valid(member, source, lifecycle.request, decided)
 
+    def _catch_up_after_stall(self) -> None:
+        """After a stop of the process or a long turn of its loop, what was told meanwhile stands in the
+        feed's socket: it is taken in before anything is sent."""
+        self.stalls.turn(time.monotonic())
+        if self.caught_up != self.stalls.stalls:
+            self.caught_up = self.stalls.stalls
+            if self.catch_up is not None:
+                self.catch_up()
+
     def may_repeat(self, lifecycle: RequestLifecycle, number: int) -> bool:
         """May an attempt go out beside or after the earlier ones of its request that may have run?"""
         kind = self.kinds.get(lifecycle.request.class_name)
--- a/onyxwick/net/cache_link.py
+++ b/onyxwick/net/cache_link.py
@@ -90,7 +90,7 @@
         call = Call(request_id, PendingWrite(b""), future, now, order.request.held_tag, order.alone)
         call.write = PendingWrite(
             b"",
-            lambda: self._leads_to_member() and order.left_us() > 0 and order.is_still_valid(),
+            lambda: order.left_us() > 0 and order.is_still_valid() and self._leads_to_member(),
             lambda: self._dropped(call),
             render=lambda: request_bytes(order),
             size=COMMAND_BYTES + len(order.request.body),
--- a/onyxwick/net/client.py
+++ b/onyxwick/net/client.py
@@ -24,7 +24,8 @@
     from onyxwick.net.front import Front
 
 log = logs.get()
-HALF_S = 2.0  # a connection that has sent nothing, or half a request, for so long is ended
+HALF_S = 2.0  # a connection that has sent nothing, or nothing more of half a request, for so long is ended
+HALF_MOST_S = 10.0  # the same for one that goes on sending without ending its request
 IDLE_S = 4.8
 """The platform's clients close what is idle for 4 s; who holds on longer takes a place for nothing."""
 FAULTS = 16  # bad input on one connection after which it is ended
@@ -190,7 +191,7 @@
 
     def _may_have_waited(self, now: float) -> float:
         """How many seconds what was just read may have stood in the socket."""
-        since = self.front.stalls.turn(now)
+        since = self.front.core.stalls.turn(now)
         if self.not_read_since:
             since = min(since, self.not_read_since)
         if since >= now:
@@ -416,6 +417,8 @@
         """
         if not self.free(now, 0.0):
             return False
-        if not self.calls or self.parser.half:
-            return now - (self.half_since if self.calls else self.born) > HALF_S
+        if self.parser.half:
+            return now - self.used_at > HALF_S or now - self.half_since > HALF_MOST_S
+        if not self.calls:
+            return now - self.born > HALF_S
         return now - self.used_at > IDLE_S
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Any
@@ -18,7 +19,7 @@
 from onyxwick.core.clock import FeedStamps
 from onyxwick.core.pacing import BackoffPolicy, Patience, ReconnectBackoff
 from onyxwick.counters import Counters
-from onyxwick.net.buffer import Buffer, readable
+from onyxwick.net.buffer import Buffer, readable, unread
 
 log = logs.get()
 SILENT_S = 2.2  # a line comes each second: without a byte for so long the connection is broken
@@ -31,6 +32,8 @@
 )
 MAX_RETRY_US = 1_000_000  # a wait at most: with a connect and a silence, the feed is back well within 4 s
 MAX_LINE = 4_194_304
+TURN_S = 0.005  # of the loop for lines that came together: a long list has a turn of its own
+CATCH_UP_S = 0.25  # for what was told while the process stood still
 MOST_STEP_US = 86_400_000_000  # this machine's clock may be behind the feed's by so much
 STATES = {"SERVING": i.State.READY, "DRAINING": i.State.DRAINING, "DELETED": i.State.GONE}
 
@@ -112,6 +115,9 @@
         self.announced = 0  # the last number that a line named alone
         self.address = ("", 0)
         self.limit: asyncio.Timeout | None = None  # how long the connection under way may be silent
+        self.sock: socket.socket | None = None  # of the connection that brings lines
+        self.buffer, self.line_began = Buffer(), 0.0  # the latter in monotonic seconds
+        core.catch_up = self.catch_up
         self.stamps = FeedStamps()
         self.connect_patience = Patience(CONNECT_S, 2)
         self.first_byte_patience = Patience(SILENT_S, 2)
@@ -234,8 +240,8 @@
             await asyncio.sleep(self.backoff.next_delay_us(FIRST_RETRY_US) / 1e6)
 
     async def _follow_once(self) -> None:
-        loop, buffer, address = asyncio.get_running_loop(), Buffer(), self.address
-        self.announced = 0
+        loop, address = asyncio.get_running_loop(), self.address
+        self.announced, self.buffer = 0, Buffer()
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -243,41 +249,76 @@
                 async with asyncio.timeout(self.connect_patience.limit_s) as self.limit:
                     await loop.sock_connect(sock, address)
                     await loop.sock_sendall(sock, b"follow %d\n" % self.last)
-            with self.first_byte_patience:
-                async with asyncio.timeout(self.first_byte_patience.limit_s) as self.limit:
-                    await readable(loop, sock)
-            async with asyncio.timeout(SILENT_S) as self.limit:
-                await self._read_lines(loop, sock, buffer, address, self.limit)
+            self.sock = sock
+            try:
+                with self.first_byte_patience:
+                    await self._bytes_or_silence(loop, sock, self.first_byte_patience.limit_s)
+                await self._read_lines(loop, sock, address)
+            finally:
+                self.sock = None
 
     async def _read_lines(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        sock: socket.socket,
-        buffer: Buffer,
-        address: tuple[str, int],
-        limit: asyncio.Timeout,
+        self, loop: asyncio.AbstractEventLoop, sock: socket.socket, address: tuple[str, int]
     ) -> None:
         """Take in line after line; any bytes are progress, as a whole list may come slowly."""
-        line_began = loop.time()
-        while await buffer.receive(loop, sock):
+        self.line_began = time.monotonic()
+        while True:
+            await self._bytes_or_silence(loop, sock, SILENT_S)
             if address != self.address:
                 raise OSError("the feed has moved")
-            if not limit.expired():
-                limit.reschedule(loop.time() + SILENT_S)
-            while (end := buffer.find(b"\n")) >= 0:
-                if line := buffer.take(end + 1).strip():
-                    self.line(line)
-                    if self.beat is not None:
-                        self.beat()
-                    self.backoff.reset()
-                    self.line_patience.reset()
-                    await asyncio.sleep(0)  # a list holds the loop: others have their turn before the next
-                line_began = loop.time()
-            if len(buffer) > MAX_LINE:
+            with contextlib.suppress(BlockingIOError):  # `catch_up` has taken it in
+                if not self.buffer.receive_now(sock):
+                    raise OSError("closed by the coordinator")
+            while self._take_lines(TURN_S):
+                await asyncio.sleep(0)  # others have their turn before the next line
+            if len(self.buffer) > MAX_LINE:
                 raise OSError("line too long")
-            if len(buffer) and loop.time() - line_began > self.line_patience.limit_s:
+            if not len(self.buffer):
+                self.line_began = time.monotonic()
+            elif time.monotonic() - self.line_began > self.line_patience.limit_s:
                 self.line_patience.extend()
                 raise OSError("a line takes too long")
-            if not len(buffer):
-                line_began = loop.time()
-        raise OSError("closed by the coordinator")
+
+    async def _bytes_or_silence(
+        self, loop: asyncio.AbstractEventLoop, sock: socket.socket, most_s: float
+    ) -> None:
+        """Wait for bytes; TimeoutError where none came. After a stop of the process the time is over at once,
+        though what came meanwhile stands in the socket."""
+        try:
+            async with asyncio.timeout(most_s) as self.limit:
+                await readable(loop, sock)
+        except TimeoutError:
+            if not unread(sock):
+                raise
+
+    def _take_lines(self, most_s: float) -> bool:
+        """Apply the whole lines received, for about so many seconds at most; are there more? OSError where
+        the connection is of no more use."""
+        end = time.monotonic() + most_s
+        while (size := self.buffer.find(b"\n")) >= 0:
+            if time.monotonic() > end:
+                return True
+            if line := self.buffer.take(size + 1).strip():
+                self.line(line)
+                if self.beat is not None:
+                    self.beat()
+                self.backoff.reset()
+                self.line_patience.reset()
+            self.line_began = time.monotonic()
+        return False
+
+    def catch_up(self) -> None:
+        """Take in what stands in the feed's socket before its reader's turn, for `CATCH_UP_S` at most."""
+        sock, end = self.sock, time.monotonic() + CATCH_UP_S
+        if sock is None:
+            return
+        try:
+            while not self._take_lines(max(0.0, end - time.monotonic())) and time.monotonic() < end:
+                if not self.buffer.receive_now(sock):
+                    return  # the reader meets the end too
+        except BlockingIOError:
+            return
+        except OSError as error:
+            log.warning("the feed's connection is given up", error=repr(error))
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)  # wakes the reader, which begins a new one
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -14,7 +14,7 @@
 from onyxwick.config.relay import SHUT_LEAST, SHUT_SHARE
 from onyxwick.core import Core
 from onyxwick.core.reasons import ConnectionEnd
-from onyxwick.core.stall import STALL_S, StallWatch
+from onyxwick.core.stall import STALL_S
 from onyxwick.counters import Counters
 from onyxwick.net import errors, room
 from onyxwick.net.buffer import readable, seconds_since_sent, unread
@@ -63,7 +63,7 @@
         self.classes = {c.name: c for c in core.settings.classes}
         self.clients: dict[Client, asyncio.Task[None]] = {}  # oldest first
         self.next_connection = partial(next, itertools.count(1))  # numbers of connections, for the logs
-        self.budget, self.stalls = ByteBudget(), StallWatch(time.monotonic())
+        self.budget = ByteBudget()
         self.accept_failures = 0
         self.accept_failing_since = (
             0.0  # monotonic: connections that wait have not been accepted since; else 0
@@ -113,7 +113,7 @@
     async def watch_turns(self) -> None:
         """Tell the watch that the loop turns, also while nobody asks."""
         while True:
-            self.stalls.turn(time.monotonic())
+            self.core.stalls.turn(time.monotonic())
             await asyncio.sleep(0.6 * STALL_S)
 
     def _make_room(self) -> bool:
--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -383,7 +383,7 @@
         client.sendall(call(1, more={"HTTP_X_TIMEOUT_MS": "1000"}))
         sent = time.monotonic()
         await asyncio.sleep(0.4)
-        ground.front.stalls.turn(time.monotonic())  # a front that has just begun
+        ground.core.stalls.turn(time.monotonic())  # a front that has just begun
         ground.tasks.append(loop.create_task(ground.front.watch_turns()))
         await asyncio.sleep(0.1)
         client.sendall(call(2, path="/ping") if followed else b"")
@@ -459,7 +459,8 @@
     return b"".join(json.dumps(event).encode() + b"\n" for event in events)
 
 
-def test_after_a_stop_nothing_goes_to_a_cache_whose_drain_was_told_meanwhile() -> None:
+@pytest.mark.parametrize("stop_s", [0.7, 2.6])
+def test_after_a_stop_nothing_goes_to_a_cache_whose_drain_was_told_meanwhile(stop_s: float) -> None:
     """The drain stands in the feed's socket behind much else, and a call in its client's."""
 
     async def play(ground: Ground) -> None:
@@ -480,8 +481,27 @@
         drain = {"index": 401, "endpoints": {"version": 2, "servers": [row]}}
         client.send(call(2))
         told.send(_purge_lines(1, 400) + json.dumps(drain).encode() + b"\n")
-        time.sleep(0.7)  # stopped, for longer than a drain's grace
+        time.sleep(stop_s)  # longer than a drain's grace, and than the feed may be silent
         await ground.until(lambda: len(ground.script.ends()) == 2)
         assert ground.script.ends()[1] is i.Status.NOT_SENT and follower.last == 401
 
     played(play)
+
+
+def test_after_a_stop_an_answer_that_came_in_time_is_heard_before_timers() -> None:
+    """Else each cache that was asked seems silent."""
+
+    async def play(ground: Ground) -> None:
+        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+        due = ground.core.now() + 300_000
+        ground.script.arrived = lambda request: [*ask(request, "c0"), i.SetTimer(due, "hedge")]
+        lifecycle = ground.start()
+        conn, name = await ground.accepted(cache), lifecycle.request.id.encode()
+        await ground.read(conn, name)
+        await loop.sock_sendall(conn, resp.command(name, b"data", FOUND, b"x"))
+        time.sleep(0.6)
+        await ground.until(lambda: i.TimerFired("hedge") in ground.script.events)
+        fired = ground.script.events.index(i.TimerFired("hedge"))
+        assert any(isinstance(event, i.AttemptEnded) for event in ground.script.events[:fired])
+
+    played(play)
