After a stop the module's timers wait 10 ms for what stands unread

Cause: Core._timer fired whatever had fallen due, before the loop had looked at a socket: each answer that had come in the stop counted as silence, with hedges and blame for caches that were sound.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -27,6 +27,8 @@
 log = logs.get()
 OVERDUE_US = 20_000  # past its deadline a request is answered even if the module forgot it
 RETRY_TIMER_S = 0.1  # after an error on a timer the module is woken again
+STALLED_TIMER_US = 100_000  # a timer so late: the process stood still, and answers may stand unread
+READ_FIRST_S = 0.01  # then it waits so long for what can be read
 MAX_OPEN_REQUESTS = 2048  # requests at once, where nothing else is said
 
 
@@ -124,11 +126,15 @@
             return Decided(action, self.members.standing(action.member, source))
         return action
 
-    def _timer(self, at: int, token: str) -> None:
+    def _timer(self, at: int, token: str, read: bool = False) -> None:
+        """A timer of the module is due. `read`: what came in a stop of the process has been read."""
         # A timer never reaches the module early: it would find nothing due and not ask again.
         if self.now() < at:
             asyncio.get_running_loop().call_later((at - self.now()) / 1e6 + 0.0005, self._timer, at, token)
             return
+        if not read and self.now() - at > STALLED_TIMER_US:
+            asyncio.get_running_loop().call_later(READ_FIRST_S, self._timer, at, token, True)
+            return
         try:
             self.handle(i.TimerFired(token))
         except Exception:
