Soak: stops of up to 3 s, calls written over seconds; a moved feed ends no finished time limit

The oracle let a drain told in a stop settle for the length of the stop, and passed over half calls that were cut off: both hid faults. Stops now excuse nothing of drains; a connection that ends in the middle of a call is a finding unless its director ends, is drained or was stopped.

--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -13,7 +13,7 @@
 from onyxwick.lab.feed import row_of
 from onyxwick.lab.soak.clients import OBJECTS
 from onyxwick.lab.soak.model import Down, Purged, Started, Unready
-from onyxwick.lab.soak.plan import STEPS_S, Fault, Kind
+from onyxwick.lab.soak.plan import ENDS_PROCESS, STEPS_S, Fault, Kind
 from onyxwick.lab.soak.process import SoakDirector
 from onyxwick.lab.soak.shim import (
     ACCEPT_ERRORS,
@@ -39,9 +39,10 @@
 ACCEPT_AGAIN_US = 60_000  # until it is tried again after an error
 DOWN_S = 0.2
 CALL_TRIES = 20
+CUT_US = 1 * S  # after a process has ended or a drain is over connections may still end
 PURGE_DONE_S = 5.0
 FEED_KINDS = {Kind.FEED_LOST, Kind.FEED_SLOW, Kind.BROKEN}
-CALL_KINDS = {Kind.RELOAD, Kind.SOCKET, Kind.CONNECT, Kind.TRANSFER, Kind.STOP, Kind.DISK}
+CALL_KINDS = {Kind.RELOAD, Kind.SOCKET, Kind.CONNECT, Kind.TRANSFER, Kind.DISK}
 
 
 @dataclass(frozen=True, slots=True)
@@ -373,6 +374,15 @@
         for server, began, at in self.starts:
             records.started.append(Started(server, began, max(self._told(d, at) for d in numbers)))
 
+        for director, at in records.cut:
+            if not self._may_cut(director, at):
+                records.ended.append(f"n{director} ended a connection in the middle of a call, at {at}")
+
+    def _may_cut(self, director: int, at: int) -> bool:
+        """Was it ending, drained or gone, or stopped for longer than half a call may rest?"""
+        near = [s for s in self.spans if s.director == director and s.from_us <= at <= s.until_us + CUT_US]
+        return any(s.kind in (*ENDS_PROCESS, Kind.DRAIN, Kind.STOP) for s in near)
+
     def _told(self, director: int, at: int) -> int:
         told = at + FEED_US
         for span in self.spans:
--- a/onyxwick/lab/soak/clients.py
+++ b/onyxwick/lab/soak/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 OBJECTS, PARTS = 60, 3
 REUSE, LEAVES, SLOW, HURRIED, BAD = 0.6, 0.12, 0.06, 0.04, 0.02
 IDLE_MOST_S = 4.0  # the platform's clients close what is idle for so long
+SLOW_PARTS, SLOW_REST_S = 9, (0.02, 0.5)  # pieces of a call at most, and the rest between two of them
 CONNECT_S = 2.0
 CROSSED_US = 50_000
 END_S = 1.0  # after its time a request is waited for so long before it counts as never answered
@@ -120,7 +122,7 @@
         if connection.closed or connection.transport is None:
             return
         slowly, connection.half = rng.random() < SLOW and not connection.waiting, False
-        number, future = await self._write(connection, params, slowly)
+        number, future = await self._write(director, connection, params, slowly)
         if future is None:
             return  # the connection ended under half a call: nothing was asked
         connection.asked += 1
@@ -135,7 +137,7 @@
             await self._again(director, address, params, call)
 
     async def _write(
-        self, connection: SoakConnection, params: dict[str, str], slowly: bool
+        self, director: int, connection: SoakConnection, params: dict[str, str], slowly: bool
     ) -> tuple[int, asyncio.Future[bytes | None] | None]:
         if not slowly:
             return connection.send(params)
@@ -145,15 +147,19 @@
         number, future = connection.send(params)
         connection.transport = real
         data = b"".join(pieces)
-        cut = self.random.randrange(1, len(data))
-        transport.write(data[:cut])
+        parts = self.random.randint(2, SLOW_PARTS)
+        ends = [len(data) * n // parts for n in range(parts + 1)]
+        transport.write(data[: ends[1]])
         connection.half = True
-        await asyncio.sleep(self.random.uniform(0.02, 0.5))
+        for begin, end in itertools.pairwise(ends[1:]):
+            await asyncio.sleep(self.random.uniform(*SLOW_REST_S))
+            if connection.closed:
+                self.records.cut.append((director, self.clock()))
+                connection.waiting.pop(number, None)
+                connection.half = False
+                return number, None
+            transport.write(data[begin:end])
         connection.half = False
-        if connection.closed:
-            connection.waiting.pop(number, None)
-            return number, None
-        transport.write(data[cut:])
         return number, future
 
     async def _leave(
--- a/onyxwick/lab/soak/model.py
+++ b/onyxwick/lab/soak/model.py
@@ -99,6 +99,7 @@
     started: list[Started] = field(default_factory=list)
     down: list[Down] = field(default_factory=list)
     stopped: list[Down] = field(default_factory=list)  # SIGSTOP
+    cut: list[tuple[int, int]] = field(default_factory=list)  # director, when: ended in the middle of a call
     unaccepted: list[Down] = field(default_factory=list)  # no connection could be accepted
     late: list[tuple[int, int]] = field(default_factory=list)  # of the lab's own timers: when, by how much
     counters: dict[str, int] = field(default_factory=dict)  # of all directors, as they printed them
--- a/onyxwick/lab/soak/oracle.py
+++ b/onyxwick/lab/soak/oracle.py
@@ -132,7 +132,6 @@
                     if call is None or span.director not in (-1, call.director):
                         continue
                     begin = span.told_us + DRAIN_US + SLACK_US + NOISE_US + self.late.around(sent.at_us)
-                    begin += self._stopped_us(call.director, span.told_us, sent.at_us)
                     if begin < sent.at_us < span.until_us:
                         over = (sent.at_us - span.told_us) // 1000
                         yield Finding("drain", f"{_told(call)} to {server} {over} ms after it was told")
--- a/onyxwick/lab/soak/plan.py
+++ b/onyxwick/lab/soak/plan.py
@@ -52,7 +52,7 @@
     Kind.TRANSFER: (1.0, 3.0),
     Kind.BROKEN: (0.5, 2.0),
     Kind.DISK: (0.5, 3.0),
-    Kind.STOP: (0.05, 0.35),
+    Kind.STOP: (0.05, 3.0),
     Kind.FEED_LOST: (0.5, 4.0),
     Kind.FEED_SLOW: (1.0, 4.0),
     Kind.CLIENTS_LEAVE: (0.5, 1.5),
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -262,10 +262,10 @@
     ) -> None:
         """Take in line after line; any bytes are progress, as a whole list may come slowly."""
         self.line_began = time.monotonic()
-        while True:
+        while address == self.address:
             await self._bytes_or_silence(loop, sock, SILENT_S)
             if address != self.address:
-                raise OSError("the feed has moved")
+                break
             with contextlib.suppress(BlockingIOError):  # `catch_up` has taken it in
                 if not self.buffer.receive_now(sock):
                     raise OSError("closed by the coordinator")
@@ -278,6 +278,7 @@
             elif time.monotonic() - self.line_began > self.line_patience.limit_s:
                 self.line_patience.extend()
                 raise OSError("a line takes too long")
+        raise OSError("the feed has moved")
 
     async def _bytes_or_silence(
         self, loop: asyncio.AbstractEventLoop, sock: socket.socket, most_s: float
@@ -290,6 +291,8 @@
         except TimeoutError:
             if not unread(sock):
                 raise
+        finally:
+            self.limit = None  # what has ended can't be moved
 
     def _take_lines(self, most_s: float) -> bool:
         """Apply the whole lines received, for about so many seconds at most; are there more? OSError where
--- a/tests/test_reload_and_lists.py
+++ b/tests/test_reload_and_lists.py
@@ -80,6 +80,7 @@
             except BlockingIOError:
                 await asyncio.sleep(0.05)
         ground.opened.append(moved)
+        assert not ground.counters.counts["error.coordinator"]
 
     async def bounded(ground: Ground) -> None:
         async with asyncio.timeout(PATIENCE_S / 4):
