Invariants: a check's own fault is counted and goes no further; soak: connections that caches close, reset or forget

A check that raised an error would have ended the connection on whose write it was made. Planted breach: check_failed.

--- a/onyxwick/core/invariants.py
+++ b/onyxwick/core/invariants.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import wraps
+from typing import Concatenate, ParamSpec
 
 from onyxwick import interface as i
 
@@ -45,6 +47,7 @@
     LATE_ANSWER = "late_answer"
     CLOSED_OWING = "closed_owing"
     COMMAND_UNWRITTEN = "command_unwritten"
+    CHECK_FAILED = "check_failed"  # a check could not be made, for a fault of its own
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +100,24 @@
     return allowed + roots * math.sqrt(max(0.0, allowed)) + roots
 
 
+Arguments = ParamSpec("Arguments")
+
+
+def _contained(
+    check: Callable[Concatenate[Invariants, Arguments], None],
+) -> Callable[Concatenate[Invariants, Arguments], None]:
+    """A fault of a check itself is a violation too, and changes nothing of what is served."""
+
+    @wraps(check)
+    def contained(self: Invariants, /, *args: Arguments.args, **kwargs: Arguments.kwargs) -> None:
+        try:
+            check(self, *args, **kwargs)
+        except Exception as error:
+            self.report(Violation(Rule.CHECK_FAILED, f"{check.__name__}: {error!r}"))
+
+    return contained
+
+
 class Invariants:
     """All checks of one director. `work_us`: mean sending time by class, as far as known."""
 
@@ -115,6 +136,7 @@
 
     # ---- what is known -----------------------------------------------------------------------------------
 
+    @_contained
     def list_changed(self, event: i.MembersChanged, now: int) -> None:
         """The list was received, whole or in part, as the director is to see it."""
         if event.kind is i.ListKind.FAILED:
@@ -142,6 +164,7 @@
             while len(self.removed) > MOST_SENDS:
                 del self.removed[next(iter(self.removed))]
 
+    @_contained
     def purged(self, group: int, name: str | None, made: int, now: int) -> None:
         """A purge of one object or of a group was received, which was made then."""
         key = (group, None) if name is None else (None, name)
@@ -154,17 +177,20 @@
 
     # ---- requests ----------------------------------------------------------------------------------------
 
+    @_contained
     def request_started(
         self, request: str, class_name: str, group: int | None, name: str, deadline_us: int, now: int
     ) -> None:
         """A request was taken: from now on it is owed one final answer."""
         self.requests[request] = _Request(class_name, group, name, deadline_us, now)
 
+    @_contained
     def client_departed(self, request: str, now: int) -> None:
         """Its client has closed or cancelled; it is owed no answer."""
         if (known := self.requests.get(request)) is not None and not known.departed_at:
             known.departed_at = now
 
+    @_contained
     def answered(self, request: str, now: int) -> None:
         """Its final answer was given to its connection."""
         known = self.requests.get(request)
@@ -177,12 +203,14 @@
         if now > due + LATE_US:
             self._broken(Rule.LATE_ANSWER, f"{now - due} us after its time", request)
 
+    @_contained
     def request_ended(self, request: str) -> None:
         """Nothing more will come of it."""
         known = self.requests.pop(request, None)
         if known is not None and not known.answered_at and not known.departed_at:
             self._broken(Rule.NO_ANSWER, "it ended with neither an answer nor its client's leaving", request)
 
+    @_contained
     def connection_closed(self, connection: int, owed: int, by_client: bool) -> None:
         """A client's connection is closed while so many answers are owed on it."""
         if owed and not by_client:
@@ -191,6 +219,7 @@
 
     # ---- attempts ----------------------------------------------------------------------------------------
 
+    @_contained
     def attempt_begun(self, begun: AttemptBegun, now: int) -> None:
         """The first bytes of an attempt have gone out."""
         known = self.requests.get(begun.request)
@@ -206,6 +235,7 @@
         self._check_slow_start(known, begun, now)
         known.begun.setdefault(begun.number, now)
 
+    @_contained
     def attempt_ended(self, request: str, number: int, proves_unrun: bool) -> None:
         """An attempt has ended; `proves_unrun`: for certain it never ran."""
         known = self.requests.get(request)
@@ -288,6 +318,7 @@
 
     # ---- what was promised to operators ------------------------------------------------------------------
 
+    @_contained
     def commands_written(self, ordered: int, written: int) -> None:
         """The operators' file takes writes: versions of what was ordered and of what stands in it."""
         if written < ordered:
--- a/onyxwick/lab/machines.py
+++ b/onyxwick/lab/machines.py
@@ -54,6 +54,14 @@
         """A transfer began at a machine's link; who measures use overrides this."""
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection with a reset, whatever is under way on it."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+    writer.transport.abort()
+
+
 class Machine:
     """One box, parent or origin: a listener, a link that its transfers share, and what it keeps."""
 
@@ -80,10 +88,7 @@
             self.server.close()
             self.server = None
         for writer in list(self.clients):
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-            writer.transport.abort()
+            reset(writer)
         for future in self.waiting.values():
             future.cancel()
         self.waiting.clear()
--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -7,7 +7,7 @@
 import signal
 from collections import defaultdict, deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from onyxwick.lab.faults.relay import Way
 from onyxwick.lab.feed import row_of
@@ -15,6 +15,7 @@
 from onyxwick.lab.soak.model import Down, Purged, Started, Unready
 from onyxwick.lab.soak.plan import ENDS_PROCESS, STEPS_S, Fault, Kind
 from onyxwick.lab.soak.process import SoakDirector
+from onyxwick.lab.soak.servers import ConnectionLoss
 from onyxwick.lab.soak.shim import (
     ACCEPT_ERRORS,
     BROKEN_ERRORS,
@@ -29,6 +30,7 @@
     from onyxwick.lab.soak.run import Soak
     from onyxwick.lab.soak.servers import SoakServer
 
+Drawn = TypeVar("Drawn")
 S = 1_000_000
 FEED_US = 300_000  # for a list or a purge to reach a director over a sound feed
 LATEST_US = 7 * S  # whatever the feed tells counts as told by then
@@ -88,6 +90,7 @@
             Kind.CACHE_DRAIN: self._cache_drain,
             Kind.CACHE_RESTART: self._cache_restart,
             Kind.CACHE_HANG: self._cache_hang,
+            Kind.CACHE_FORGET: self._cache_forget,
             Kind.PURGE: self._purge,
         }
 
@@ -349,6 +352,13 @@
         server.hang(False)
         self.taken.discard(server.name)
 
+    async def _cache_forget(self, fault: Fault, director: SoakDirector) -> None:
+        if (server := self._free(fault, ("box", "parent"))) is None:
+            return
+        server.end_connections(_drawn(fault, tuple(ConnectionLoss)))
+        await asyncio.sleep(fault.for_s)
+        self.taken.discard(server.name)
+
     async def _purge(self, fault: Fault, director: SoakDirector) -> None:
         world, now = self.soak.world, self.soak.clock()
         names = [f"{n:016x}" for n in range(OBJECTS)]
@@ -398,7 +408,7 @@
         return told
 
 
-def _drawn(fault: Fault, values: tuple[int, ...]) -> int:
+def _drawn(fault: Fault, values: tuple[Drawn, ...]) -> Drawn:
     return values[fault.draw % len(values)]
 
 
--- a/onyxwick/lab/soak/plan.py
+++ b/onyxwick/lab/soak/plan.py
@@ -39,10 +39,11 @@
     CACHE_DRAIN = "cache_drain"
     CACHE_RESTART = "cache_restart"
     CACHE_HANG = "cache_hang"
+    CACHE_FORGET = "cache_forget"  # connections to a cache are closed, reset or forgotten without a word
     PURGE = "purge"
 
 
-FLEET = frozenset({Kind.CACHE_DRAIN, Kind.CACHE_RESTART, Kind.CACHE_HANG, Kind.PURGE})
+FLEET = frozenset({Kind.CACHE_DRAIN, Kind.CACHE_RESTART, Kind.CACHE_HANG, Kind.CACHE_FORGET, Kind.PURGE})
 ENDS_PROCESS = frozenset({Kind.TERM, Kind.KILL, Kind.TORN_WRITE, Kind.HANDOVER})
 LENGTHS_S = {
     Kind.CLOCK: (2.0, 5.0),
--- a/onyxwick/lab/soak/servers.py
+++ b/onyxwick/lab/soak/servers.py
@@ -3,14 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
+from typing import cast
 
 from onyxwick.config.address import Address
 from onyxwick.lab.link import Link
-from onyxwick.lab.machines import Machine, World
+from onyxwick.lab.machines import Machine, World, reset
 from onyxwick.lab.model import Tier
 from onyxwick.lab.soak.model import Asked, Records, Sent
 from onyxwick.net import resp
 
+FORGOTTEN_S = 8.0
+"""A connection that was forgotten stays open so long."""
+
+
+class ConnectionLoss(Enum):
+    """How a server ends its connections."""
+
+    CLOSED = "closed"
+    RESET = "reset"
+    FORGOTTEN = "forgotten"  # nothing is read any more, and nobody is told
+
 
 class SoakServer(Machine):
     """A machine that judges nothing: the oracle does, from what is written down here."""
@@ -30,6 +43,18 @@
         else:
             self.answering.set()
 
+    def end_connections(self, how: ConnectionLoss) -> None:
+        """All that are open now, at rest or not; new ones come up."""
+        loop = asyncio.get_running_loop()
+        for writer in list(self.clients):
+            if how is ConnectionLoss.CLOSED:
+                writer.close()
+            elif how is ConnectionLoss.RESET:
+                reset(writer)
+            else:
+                cast("asyncio.Transport", writer.transport).pause_reading()
+                loop.call_later(FORGOTTEN_S, writer.transport.abort)
+
     def cold_start(self) -> None:
         """Its link is cold from now on."""
         now = self.world.clock()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -118,6 +118,10 @@
     c.checks.commands_written(3, 3 - late)
 
 
+def _check_fails(c: Checked, late: int) -> None:
+    c.begin(left_us=None if late else S)
+
+
 CASES: list[tuple[Rule, str, Callable[[Checked, int], None]]] = [
     (Rule.SENT_FOR_DEPARTED, "chunk", _departed),
     (Rule.SENT_AFTER_ANSWER, "chunk", _answered_before),
@@ -133,6 +137,7 @@
     (Rule.LATE_ANSWER, "chunk", _answered_late),
     (Rule.CLOSED_OWING, "chunk", _closed_owing),
     (Rule.COMMAND_UNWRITTEN, "chunk", _unwritten),
+    (Rule.CHECK_FAILED, "chunk", _check_fails),
 ]
 
 
