--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -13,9 +13,10 @@
 from onyxwick.core.clock import steady_us
 from onyxwick.core.invariants import AttemptBegun, Invariants, Violation
 from onyxwick.core.lifecycles import AttemptFinished, ClientDeparted, Decided, Mail, RequestLifecycle
-from onyxwick.core.members import Members, Standing
+from onyxwick.core.members import Members
 from onyxwick.core.model import Answer, Order, Outcome, Request, Transport, Verdict
 from onyxwick.core.reasons import Refusal
+from onyxwick.core.send_guard import SendGuard
 from onyxwick.core.stall import StallWatch
 from onyxwick.counters import Counters
 from onyxwick.logic import Router
@@ -57,14 +58,12 @@
         # How the list is to be shown to the module, over what `durable` holds back: the operators' orders.
         self.adjust_list: Callable[[i.MembersChanged, int], i.MembersChanged] | None = None
         self.stalls = StallWatch(time.monotonic())
-        self.catch_up: Callable[[], None] | None = None  # takes in what the feed has brought and nobody read
-        self.caught_up = 0  # stalls after which that was done
+        self.guard = SendGuard(settings, members, self.stalls, self.now, self.leave)
         # The list as received, before recovery and the operators' orders hold rows back.
         self.received_rows: dict[str, tuple[i.Member, tuple[str, int]]] = {}
         self.lifecycles: dict[str, RequestLifecycle] = {}
         self.idle = asyncio.Event()
         self.idle.set()
-        self.kinds = {c.name: c for c in settings.classes}
         self.writes = {c.name for c in settings.classes if c.write}
         self.once = {c.name for c in settings.classes if c.repeat is i.Repeat.UNSAFE}
         self.invariants = Invariants(settings, self._violated, self._work_us)
@@ -408,47 +407,13 @@
         self.counters.add(f"again.{reason}")
         log.info("attempt again", request=lifecycle.request.id, attempt=number, after=reason)
 
-    def may_send(
-        self, lifecycle: RequestLifecycle, number: int, member: str, source: str | None, decided: Standing
-    ) -> bool:
-        """The one guard at the moment of an attempt's send, however long it waited for a connection, a
-        durable intent or room in a socket: is it still wanted, may it be a repeat, is its way still open?"""
-        self._catch_up_after_stall()
-        if lifecycle.client_departed or lifecycle.answered or not self.may_repeat(lifecycle, number):
-            return False
-        if not lifecycle.request.is_wanted():
-            self.leave(lifecycle)
-            return False
-        return self.members.is_still_valid(member, source, lifecycle.request, decided)
-
-    def _catch_up_after_stall(self) -> None:
-        """After a stop of the process or a long turn of its loop, what was told meanwhile stands in the
-        feed's socket: it is taken in before anything is sent."""
-        self.stalls.turn(time.monotonic())
-        if self.caught_up != self.stalls.stalls:
-            self.caught_up = self.stalls.stalls
-            if self.catch_up is not None:
-                self.catch_up()
-
-    def may_repeat(self, lifecycle: RequestLifecycle, number: int) -> bool:
-        """May an attempt go out beside or after the earlier ones of its request that may have run?"""
-        kind = self.kinds.get(lifecycle.request.class_name)
-        if kind is None or kind.repeat is i.Repeat.SAFE:
-            return True
-        ran = [at for at in lifecycle.ordered_at[:number] if at]
-        if not ran:
-            return True
-        # A repeat by key is safe for a while after the first send; it must have arrived whole by then.
-        margin = 2 * self.settings.tick_us
-        return kind.repeat is i.Repeat.KEYED and self.now() - min(ran) < kind.window_us - margin
-
     def _order(self, lifecycle: RequestLifecycle, mail: Decided, number: int) -> Order:
         request, action, decided = lifecycle.request, mail.action, mail.standing
         left = request.arrived_us + request.timeout_us - self.now()
         timeout = min(left, action.timeout_us) if action.timeout_us else left
         alone = request.class_name in self.once
         if isinstance(action, i.Attempt):
-            good = partial(self.may_send, lifecycle, number, action.member, None, decided)
+            good = partial(self.guard.may_send, lifecycle, number, action.member, None, decided)
             return Order(request, action.member, timeout, alone=alone, is_still_valid=good)
         source = None if action.source == action.member else action.source
         return Order(
@@ -460,7 +425,7 @@
             action.max_age_us,
             action.flags,
             alone,
-            partial(self.may_send, lifecycle, number, action.member, source, decided),
+            partial(self.guard.may_send, lifecycle, number, action.member, source, decided),
         )
 
     def _cancel(self, lifecycle: RequestLifecycle, number: int) -> None:
--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -1,4 +1,4 @@
-"""What each kind of fault does, how it ends, and what the directors had been told by when."""
+"""What each kind of fault does and how it ends."""
 
 from __future__ import annotations
 
@@ -6,14 +6,13 @@
 import random
 import signal
 from collections import defaultdict, deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
 from onyxwick.lab.faults.relay import Way
 from onyxwick.lab.feed import row_of
 from onyxwick.lab.soak.clients import OBJECTS
-from onyxwick.lab.soak.model import Down, Purged, Started, Unready
-from onyxwick.lab.soak.plan import ENDS_PROCESS, STEPS_S, Fault, Kind
+from onyxwick.lab.soak.model import Down, Unready
+from onyxwick.lab.soak.plan import STEPS_S, Fault, Kind
 from onyxwick.lab.soak.process import SoakDirector
 from onyxwick.lab.soak.servers import ConnectionLoss
 from onyxwick.lab.soak.shim import (
@@ -25,6 +24,7 @@
     SOCKET_ERRORS,
     Field,
 )
+from onyxwick.lab.soak.told import Played, Span
 
 if TYPE_CHECKING:
     from onyxwick.lab.soak.run import Soak
@@ -32,29 +32,13 @@
 
 Drawn = TypeVar("Drawn")
 S = 1_000_000
-FEED_US = 300_000  # for a list or a purge to reach a director over a sound feed
-LATEST_US = 7 * S  # whatever the feed tells counts as told by then
-TROUBLED_US = 4 * S  # the same where a call of the director failed about then
 HELD_RULE_US = 550_000  # the drain's grace and slack, which a command of the operators does not have
 TERM_CONNECTS_S, TERM_ASKS_S = 0.3, 0.2  # after SIGTERM new connections, then requests still come for so long
 DRAIN_CONNECTS_S = 0.2
 ACCEPT_AGAIN_US = 60_000  # until it is tried again after an error
 DOWN_S = 0.2
 CALL_TRIES = 20
-CUT_US = 1 * S  # after a process has ended or a drain is over connections may still end
 PURGE_DONE_S = 5.0
-FEED_KINDS = {Kind.FEED_LOST, Kind.FEED_SLOW, Kind.BROKEN}
-CALL_KINDS = {Kind.RELOAD, Kind.SOCKET, Kind.CONNECT, Kind.TRANSFER, Kind.DISK}
-
-
-@dataclass(frozen=True, slots=True)
-class Span:
-    """A fault as it was played, in the lab's microseconds."""
-
-    kind: Kind
-    director: int
-    from_us: int
-    until_us: int
 
 
 class Acts:
@@ -62,10 +46,7 @@
 
     def __init__(self, soak: Soak) -> None:
         self.soak = soak
-        self.spans: list[Span] = []
-        self.drained: list[tuple[str, int, int]] = []  # server, told to the feed, lifted
-        self.purges: list[tuple[int, int]] = []  # group, when
-        self.starts: list[tuple[str, int, int]] = []  # server, when, told to the feed
+        self.played = Played()
         self.disk_since: dict[int, list[int]] = defaultdict(list)  # faults of folders that are under way
         self.taken: set[str] = set()  # servers that a fault holds just now
         self.doing = {
@@ -101,7 +82,7 @@
         try:
             await self.doing[fault.kind](fault, director)
         finally:
-            self.spans.append(Span(fault.kind, fault.director, begun, self.soak.clock()))
+            self.played.spans.append(Span(fault.kind, fault.director, begun, self.soak.clock()))
 
     # ---- system calls ------------------------------------------------------------------------------------
 
@@ -270,7 +251,7 @@
 
     def _disk_spans(self, director: SoakDirector) -> list[tuple[int, int]]:
         """When its folder took no write; a fault that is under way has no end yet."""
-        ended = [s for s in self.spans if s.kind is Kind.DISK and s.director == director.number]
+        ended = [s for s in self.played.spans if s.kind is Kind.DISK and s.director == director.number]
         return [(s.from_us, s.until_us) for s in ended] + [
             (at, 1 << 62) for at in self.disk_since[director.number]
         ]
@@ -329,7 +310,7 @@
             return
         told = self._list(server, "DRAINING")
         await asyncio.sleep(fault.for_s)
-        self.drained.append((server.name, told, self.soak.clock()))
+        self.played.drained.append((server.name, told, self.soak.clock()))
         self._list(server, "SERVING")
         self.taken.discard(server.name)
 
@@ -341,7 +322,7 @@
         server.cold_start()
         await server.listen()
         began = self.soak.clock()
-        self.starts.append((server.name, began, self._list(server, "SERVING")))
+        self.played.starts.append((server.name, began, self._list(server, "SERVING")))
         self.taken.discard(server.name)
 
     async def _cache_hang(self, fault: Fault, director: SoakDirector) -> None:
@@ -364,7 +345,7 @@
         names = [f"{n:016x}" for n in range(OBJECTS)]
         group = world.group(names[fault.draw % OBJECTS])
         world.truth.purge(group, now)
-        self.purges.append((group, now))
+        self.played.purges.append((group, now))
         for each in self.soak.directors:
             each.feed.purge(group, now)
         purged = {name for name in names if world.group(name) == group}
@@ -372,41 +353,6 @@
         for server in self.soak.servers.values():
             loop.call_later(rng.uniform(0.5, PURGE_DONE_S), server.store.purge, purged, now)
 
-    # ---- who had been told by when -----------------------------------------------------------------------
-
-    def settle(self) -> None:
-        """Write down, after the run, what each director had been told at the latest."""
-        records, numbers = self.soak.records, range(len(self.soak.directors))
-        for server, at, lifted in self.drained:
-            records.unready += [Unready(server, d, self._told(d, at), lifted) for d in numbers]
-        for group, at in self.purges:
-            records.purged += [Purged(group, at, d, self._told(d, at)) for d in numbers]
-        for server, began, at in self.starts:
-            records.started.append(Started(server, began, max(self._told(d, at) for d in numbers)))
-
-        for director, at in records.cut:
-            if not self._may_cut(director, at):
-                records.ended.append(f"n{director} ended a connection in the middle of a call, at {at}")
-
-    def _may_cut(self, director: int, at: int) -> bool:
-        """Was it ending, drained or gone, or stopped for longer than half a call may rest?"""
-        near = [s for s in self.spans if s.director == director and s.from_us <= at <= s.until_us + CUT_US]
-        return any(s.kind in (*ENDS_PROCESS, Kind.DRAIN, Kind.STOP) for s in near)
-
-    def _told(self, director: int, at: int) -> int:
-        told = at + FEED_US
-        for span in self.spans:
-            if span.director != director or span.from_us > at + FEED_US:
-                continue
-            if span.kind in FEED_KINDS and span.until_us >= at:
-                told = max(told, min(at + LATEST_US, span.until_us + TROUBLED_US))
-            elif (span.kind in CALL_KINDS and span.until_us >= at - TROUBLED_US) or (
-                span.kind in (Kind.TERM, Kind.HANDOVER, Kind.KILL, Kind.TORN_WRITE)
-                and span.until_us >= at - TROUBLED_US
-            ):
-                told = max(told, at + TROUBLED_US, span.until_us + S)
-        return told
-
 
 def _drawn(fault: Fault, values: tuple[Drawn, ...]) -> Drawn:
     return values[fault.draw % len(values)]
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -117,7 +117,7 @@
         self.limit: asyncio.Timeout | None = None  # how long the connection under way may be silent
         self.sock: socket.socket | None = None  # of the connection that brings lines
         self.buffer, self.line_began = Buffer(), 0.0  # the latter in monotonic seconds
-        core.catch_up = self.catch_up
+        core.guard.catch_up = self.catch_up
         self.stamps = FeedStamps()
         self.connect_patience = Patience(CONNECT_S, 2)
         self.first_byte_patience = Patience(SILENT_S, 2)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -180,7 +180,7 @@
     async def play(ground: Ground) -> None:
         cache = ground.cache("c0")
         ground.script.arrived = lambda request: ask(request, "c0", "c0")
-        ground.core.may_repeat = lambda lifecycle, number: True  # type: ignore[method-assign]  # planted
+        ground.core.guard.may_repeat = lambda lifecycle, number: True  # type: ignore[method-assign]  # planted
         lifecycle = ground.start("save")
         conn = await ground.accepted(cache)
         await ground.read(conn, lifecycle.request.id.encode())
