The feed is found by connections tried beside each other, not one after the other

Found by reading, tests came with the change. Change: net/feed_race.py, at most four at once, the next one after 0.8 s without a connection or 2.2 s without a byte; bytes that stand in one of them after a stop are taken in too.

--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -20,10 +20,10 @@
 from onyxwick.core.pacing import BackoffPolicy, Patience, ReconnectBackoff
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer, readable, unread
+from onyxwick.net.feed_race import FeedRace
 
 log = logs.get()
 SILENT_S = 2.2  # a line comes each second: without a byte for so long the connection is broken
-CONNECT_S = 0.8  # with the silence before it under the 4 s after which an event counts as told
 LINE_S = 10.0  # for a line whose bytes come without a pause: a whole list on a slow connection
 GAP_TRIES = 4  # connections on which an event is missing before it is given up
 APPLY_TRIES = 3  # of an event whose application fails; then it is passed over, as the feed must go on
@@ -119,8 +119,7 @@
         self.buffer, self.line_began = Buffer(), 0.0  # the latter in monotonic seconds
         core.guard.catch_up = self.catch_up
         self.stamps = FeedStamps()
-        self.connect_patience = Patience(CONNECT_S, 2)
-        self.first_byte_patience = Patience(SILENT_S, 2)
+        self.race: FeedRace | None = None  # by which a connection is found
         self.line_patience = Patience(LINE_S, 4)
         self.failed_tries = 0  # of the next event
         self.gaps = 0  # connections on which the event after the next one came instead
@@ -240,20 +239,15 @@
             await asyncio.sleep(self.backoff.next_delay_us(FIRST_RETRY_US) / 1e6)
 
     async def _follow_once(self) -> None:
-        loop, address = asyncio.get_running_loop(), self.address
+        address = self.address
         self.announced, self.buffer = 0, Buffer()
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            with self.connect_patience:
-                async with asyncio.timeout(self.connect_patience.limit_s) as self.limit:
-                    await loop.sock_connect(sock, address)
-                    await loop.sock_sendall(sock, b"follow %d\n" % self.last)
-            self.sock = sock
+        self.race = FeedRace(address, lambda: b"follow %d\n" % self.last)
+        async with asyncio.timeout(None) as self.limit:
+            sock = await self.race.run()
+        with sock:
+            self.sock, self.race = sock, None
             try:
-                with self.first_byte_patience:
-                    await self._bytes_or_silence(loop, sock, self.first_byte_patience.limit_s)
-                await self._read_lines(loop, sock, address)
+                await self._read_lines(asyncio.get_running_loop(), sock, address)
             finally:
                 self.sock = None
 
@@ -263,7 +257,7 @@
         """Take in line after line; any bytes are progress, as a whole list may come slowly."""
         self.line_began = time.monotonic()
         while address == self.address:
-            await self._bytes_or_silence(loop, sock, SILENT_S)
+            await self._bytes_or_silence(loop, sock)
             if address != self.address:
                 break
             with contextlib.suppress(BlockingIOError):  # `catch_up` has taken it in
@@ -280,13 +274,11 @@
                 raise OSError("a line takes too long")
         raise OSError("the feed has moved")
 
-    async def _bytes_or_silence(
-        self, loop: asyncio.AbstractEventLoop, sock: socket.socket, most_s: float
-    ) -> None:
+    async def _bytes_or_silence(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
         """Wait for bytes; TimeoutError where none came. After a stop of the process the time is over at once,
         though what came meanwhile stands in the socket."""
         try:
-            async with asyncio.timeout(most_s) as self.limit:
+            async with asyncio.timeout(SILENT_S) as self.limit:
                 await readable(loop, sock)
         except TimeoutError:
             if not unread(sock):
@@ -313,6 +305,8 @@
     def catch_up(self) -> None:
         """Take in what stands in the feed's socket before its reader's turn, for `CATCH_UP_S` at most."""
         sock, end = self.sock, time.monotonic() + CATCH_UP_S
+        if sock is None and self.race is not None:
+            sock = self.race.speaking()
         if sock is None:
             return
         try:
--- /dev/null
+++ b/onyxwick/net/feed_race.py
@@ -0,0 +1,106 @@
+"""How a connection to the feed is found: one that is slow goes on while the next ones are tried beside it.
+
+A connection that never comes up, or on which nothing is ever said, costs the wait until the next one alone;
+one that is merely slow is not given up for it. Rejected: longer and longer limits for one connection after
+the other, which give up each slow one once and leave a dead one for longer each time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+
+from onyxwick.config.address import Address
+from onyxwick.net.buffer import readable, unread
+
+RACED = 4  # connections at once; then the oldest is given up
+CONNECT_S = 0.8  # before the next one is tried beside one that has not come up
+SILENT_S = 2.2  # the same beside one that is up: a line comes each second
+LOOK_S = 0.05  # between two looks whether it is time for another one
+
+
+class Attempt:
+    """One connection on its way to its first byte."""
+
+    def __init__(self, address: Address, greeting: Callable[[], bytes]) -> None:
+        self.address, self.greeting = address, greeting
+        self.began, self.up = time.monotonic(), False
+        self.heard = False
+        self.sock: socket.socket | None = None
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await loop.sock_connect(sock, self.address)
+        await loop.sock_sendall(sock, self.greeting())
+        self.up = True
+        await readable(loop, sock)
+        self.heard = True
+
+    async def end(self, kept: socket.socket | None) -> None:
+        """Stop it; its socket is closed unless it is the one that is kept."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        if self.sock is not None and self.sock is not kept:
+            self.sock.close()
+
+    def is_slow(self, now: float) -> bool:
+        """Is it time to try another one beside it?"""
+        return now - self.began > (SILENT_S if self.up else CONNECT_S)
+
+    def speaks(self) -> bool:
+        """Has it brought bytes?"""
+        return self.heard or (self.up and self.sock is not None and unread(self.sock) > 0)
+
+
+class FeedRace:
+    """Connections to one address of which the first that brings bytes is kept.
+
+    `greeting`: what is written on each once it is up.
+    """
+
+    def __init__(self, address: Address, greeting: Callable[[], bytes]) -> None:
+        self.address, self.greeting = address, greeting
+        self.attempts: list[Attempt] = []
+        self.newest: Attempt | None = None
+        self.kept: socket.socket | None = None
+
+    async def run(self) -> socket.socket:
+        """The socket that is kept; OSError where the last connection failed and none is under way."""
+        try:
+            while (kept := self.speaking()) is None:
+                await self._drop_failed()
+                await self._try_another()
+                tasks = {attempt.task for attempt in self.attempts}
+                await asyncio.wait(tasks, timeout=LOOK_S, return_when=asyncio.FIRST_COMPLETED)
+            return kept
+        finally:
+            for attempt in self.attempts:
+                await attempt.end(self.kept)
+
+    def speaking(self) -> socket.socket | None:
+        """The socket that has brought bytes, which is the one kept from then on; None: there is none yet."""
+        if self.kept is None:
+            self.kept = next((attempt.sock for attempt in self.attempts if attempt.speaks()), None)
+        return self.kept
+
+    async def _drop_failed(self) -> None:
+        """Forget those that have ended; the error of the last one where none is left."""
+        for attempt in [attempt for attempt in self.attempts if attempt.task.done()]:
+            self.attempts.remove(attempt)
+            await attempt.end(None)
+            if not self.attempts:
+                attempt.task.result()
+
+    async def _try_another(self) -> None:
+        if self.newest is not None and not self.newest.is_slow(time.monotonic()):
+            return
+        if len(self.attempts) >= RACED:
+            await self.attempts.pop(0).end(None)
+        self.newest = Attempt(self.address, self.greeting)
+        self.attempts.append(self.newest)
--- /dev/null
+++ b/tests/test_feed_race.py
@@ -0,0 +1,137 @@
+"""Connections to the feed that are slow or silent, beside others."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from typing import Any
+
+import pytest
+import uvloop
+
+from onyxwick.net import feed_race
+from onyxwick.net.feed_race import Attempt, FeedRace
+
+SILENT_S = 0.3
+GREETING = b"follow 7\n"
+
+
+@pytest.fixture(autouse=True)
+def _quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feed_race, "SILENT_S", SILENT_S)
+    monkeypatch.setattr(feed_race, "CONNECT_S", SILENT_S / 2)
+
+
+class Feed:
+    """Accepts connections and speaks when it is told."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.race = FeedRace(self.sock.getsockname(), lambda: GREETING)
+        self.opened: list[socket.socket] = []
+
+    async def accepted(self) -> socket.socket:
+        loop = asyncio.get_running_loop()
+        conn, _ = await loop.sock_accept(self.sock)
+        self.opened.append(conn)
+        assert await loop.sock_recv(conn, 64) == GREETING
+        return conn
+
+    def close(self) -> None:
+        for sock in (self.sock, *self.opened):
+            sock.close()
+
+
+async def _is_ended(conn: socket.socket) -> bool:
+    with contextlib.suppress(ConnectionResetError):
+        return await asyncio.get_running_loop().sock_recv(conn, 64) == b""
+    return True
+
+
+def test_one_that_is_slow_is_kept_though_others_were_tried_beside_it() -> None:
+    async def play() -> None:
+        feed, loop = Feed(), asyncio.get_running_loop()
+        race = loop.create_task(feed.race.run())
+        slow, beside = await feed.accepted(), await feed.accepted()
+        await loop.sock_sendall(slow, b"7\n")
+        with await race as kept:
+            assert kept.getpeername() == feed.sock.getsockname()
+            assert kept.getsockname() == slow.getpeername()
+            assert kept.recv(64) == b"7\n"  # nothing of it has been read
+        assert await _is_ended(beside)
+        feed.close()
+
+    uvloop.run(asyncio.wait_for(play(), 20 * SILENT_S))
+
+
+def test_silent_ones_cost_no_more_than_the_wait_for_the_next_and_are_bounded() -> None:
+    async def play() -> None:
+        feed, loop, begun = Feed(), asyncio.get_running_loop(), time.monotonic()
+        race = loop.create_task(feed.race.run())
+        silent = [await feed.accepted() for _ in range(feed_race.RACED)]
+        last = await feed.accepted()
+        assert time.monotonic() - begun < (feed_race.RACED + 1.5) * SILENT_S
+        assert await _is_ended(silent[0])  # the oldest has given up its place
+        assert len(feed.race.attempts) <= feed_race.RACED
+        await loop.sock_sendall(last, b"7\n")
+        (await race).close()
+        for conn in silent[1:]:
+            assert await _is_ended(conn)
+        feed.close()
+
+    uvloop.run(asyncio.wait_for(play(), 40 * SILENT_S))
+
+
+def test_refusals_beside_a_silent_one_are_not_tried_again_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    begun = 0
+
+    async def play() -> None:
+        feed, loop = Feed(), asyncio.get_running_loop()
+        race = loop.create_task(feed.race.run())
+        silent = await feed.accepted()
+        feed.sock.close()  # refused from now on
+        await asyncio.sleep(3 * SILENT_S)
+        await loop.sock_sendall(silent, b"7\n")
+        (await race).close()
+        feed.close()
+
+    class Counted(Attempt):
+        def __init__(self, *told: Any) -> None:
+            nonlocal begun
+            begun += 1
+            super().__init__(*told)
+
+    monkeypatch.setattr(feed_race, "Attempt", Counted)
+    uvloop.run(asyncio.wait_for(play(), 40 * SILENT_S))
+    assert 2 <= begun <= 7
+
+
+def test_the_error_of_the_last_one_is_told_where_none_is_under_way() -> None:
+    async def play() -> None:
+        feed = Feed()
+        feed.sock.close()
+        with pytest.raises(ConnectionRefusedError):
+            await feed.race.run()
+
+    uvloop.run(asyncio.wait_for(play(), 20 * SILENT_S))
+
+
+def test_what_is_read_before_the_race_has_ended_stays_the_one() -> None:
+    async def play() -> None:
+        feed, loop = Feed(), asyncio.get_running_loop()
+        race = loop.create_task(feed.race.run())
+        first, second = await feed.accepted(), await feed.accepted()
+        second.send(b"7\n")
+        time.sleep(0.01)  # the loop has not looked yet
+        chosen = feed.race.speaking()
+        assert chosen is not None and chosen.recv(64) == b"7\n"
+        first.send(b"7\n")
+        with await race as kept:
+            assert kept is chosen
+        assert await _is_ended(first)
+        feed.close()
+
+    uvloop.run(asyncio.wait_for(play(), 20 * SILENT_S))
