--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -230,6 +230,19 @@
     assert not _rules(records)
 
 
+@pytest.mark.parametrize(
+    ("late_us", "director", "found"), [(700_000, 0, 0), (900_000, 0, 2), (700_000, 1, 2)]
+)
+def test_a_late_answer_told_by_a_director_is_excused_by_a_stop_as_long(
+    late_us: int, director: int, found: int
+) -> None:
+    records = _sound()
+    records.stopped.append(Down(0, NOW + S, NOW + S + 700_000))
+    records.counters["violation.late_answer"] = 1
+    records.logged.append(f'n{director}.1: {{"rule":"late_answer","cause":"{late_us} us after its time"}}')
+    assert len(_rules(records)) == found
+
+
 # ---- real directors ---------------------------------------------------------------------------------------
 
 
