Soak: its directors end with it; late answers of killed processes do not count below zero

An interrupted soak left 23 directors behind, which held their addresses for the next one: the shim has the kernel end them with their lab (PR_SET_PDEATHSIG).

--- a/onyxwick/lab/soak/oracle.py
+++ b/onyxwick/lab/soak/oracle.py
@@ -176,7 +176,8 @@
         logged = [text for text in self.records.logged if not self._stood_still(text)]
         excused = len(self.records.logged) - len(logged)
         for name, count in sorted(self.records.counters.items()):
-            count -= excused if name == LATE_ANSWERS else 0
+            if name == LATE_ANSWERS:  # of a process that was killed the log alone is left
+                count = max(0, count - excused)
             if count and name.startswith(("violation.", "error.")) and name not in EXPECTED_ERRORS:
                 yield Finding(f"inside: {name}", str(count))
         for text in logged:
--- a/onyxwick/lab/soak/shim.c
+++ b/onyxwick/lab/soak/shim.c
@@ -15,6 +15,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/types.h>
@@ -52,6 +53,7 @@
     const char *path = getenv("ONYXWICK_SHIM_CONTROL");
     folder = getenv("ONYXWICK_SHIM_FOLDER");
     if (!path) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL); /* a lab that is ended leaves no process behind */
     int fd = open(path, O_RDWR | O_CLOEXEC);
     if (fd < 0) return;
     void *at = mmap(NULL, sizeof *control, PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
