--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -505,3 +505,20 @@
         assert any(isinstance(event, i.AttemptEnded) for event in ground.script.events[:fired])
 
     played(play)
+
+
+def test_a_connection_that_came_up_in_a_stop_is_used() -> None:
+    """The limit on connects is over at the wake, and says nothing of the cache."""
+
+    async def play(ground: Ground) -> None:
+        list(ground.held("c0"))
+        ground.caches.connect_s = 0.3
+        ground.script.arrived = lambda request: ask(request, "c0")
+        lifecycle = ground.start()
+        await ground.until(lambda: ground.caches.links.get("c0"))
+        ground.opened[0].accept()[0].close()  # room for the next one, which comes up as its SYN is sent again
+        time.sleep(1.3)
+        conn = await ground.accepted(ground.opened[0])
+        await ground.read(conn, lifecycle.request.id.encode())
+
+    played(play)
