A connect whose limit ran out in a stop is looked at before it counts as failed

Cause: Link._connect took asyncio's time-out for the cache's silence; after a stop it is over before the loop looks.

--- a/onyxwick/net/buffer.py
+++ b/onyxwick/net/buffer.py
@@ -33,6 +33,15 @@
     return bool(poll.poll(0))
 
 
+def is_up(sock: socket.socket) -> bool:
+    """Has a connect that was begun on it succeeded, and is the connection there?"""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def seconds_since_data(sock: socket.socket) -> float | None:
     """How long ago the last bytes came to a socket, as the system counts; None where it does not tell."""
     return _tcp_info_seconds(sock, LAST_DATA_RECEIVED)
--- a/onyxwick/net/cache_link.py
+++ b/onyxwick/net/cache_link.py
@@ -13,7 +13,7 @@
 from onyxwick.core.model import Order, Outcome
 from onyxwick.core.reasons import ConnectionEnd
 from onyxwick.net import errors, resp
-from onyxwick.net.buffer import unread
+from onyxwick.net.buffer import is_up, unread
 from onyxwick.net.cache_wire import read_outcome, request_bytes
 from onyxwick.net.write_queue import PendingWrite, Progress, WriteQueue
 
@@ -159,8 +159,7 @@
                 sock = self.sock = self.writes.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                 sock.setblocking(False)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                async with asyncio.timeout(self.caches.connect_s):
-                    await asyncio.get_running_loop().sock_connect(sock, self.address)
+                await self._come_up(sock)
                 return sock
             except OSError as error:
                 self.kept_back = errors.is_local(error)
@@ -173,6 +172,16 @@
             await asyncio.sleep(pause)
             pause = min(2 * pause, LOCAL_RETRY_MOST_S)
 
+    async def _come_up(self, sock: socket.socket) -> None:
+        """Connect within the limit. After a stop of the process the limit is over at once, though the
+        connection may have come up meanwhile."""
+        try:
+            async with asyncio.timeout(self.caches.connect_s):
+                await asyncio.get_running_loop().sock_connect(sock, self.address)
+        except TimeoutError:
+            if not is_up(sock):
+                raise
+
     async def _talk(self, sock: socket.socket) -> None:
         writer = asyncio.get_running_loop().create_task(self.writes.run())
         reader = asyncio.get_running_loop().create_task(self._read(sock))
