--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -313,9 +313,13 @@
             while not self._take_lines(max(0.0, end - time.monotonic())) and time.monotonic() < end:
                 if not self.buffer.receive_now(sock):
                     return  # the reader meets the end too
+            return
         except BlockingIOError:
             return
         except OSError as error:
             log.warning("the feed's connection is given up", error=repr(error))
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)  # wakes the reader, which begins a new one
+        except Exception:  # whoever is about to send is not to pay for it
+            self.counters.add("error.coordinator")
+            log.exception("error in the coordinator's events")
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)  # wakes the reader, which begins a new one
--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -459,35 +459,57 @@
     return b"".join(json.dumps(event).encode() + b"\n" for event in events)
 
 
+async def _stopped(ground: Ground, stop_s: float, events: bytes) -> tuple[Coordinator, socket.socket]:
+    """What follows the feed of a director that stands still while a call and events come, and the one
+    connection to its cache, which is up and at rest."""
+    cache, loop = ground.cache("c0"), asyncio.get_running_loop()
+    ground.script.arrived = lambda request: ask(request, "c0")
+    feed = listen(("127.0.0.1", 0))
+    ground.opened.append(feed)
+    follower = ground.follow(feed.getsockname())
+    told = await ground.accepted(feed)
+    await ground.read(told, b"follow 0\n")
+    client = await ground.client()
+    await loop.sock_sendall(client, call(1))
+    conn = await ground.accepted(cache)
+    await ground.read(conn, f"{1:016x}".encode())
+    await loop.sock_sendall(conn, resp.command(f"{1:016x}".encode(), b"data", FOUND, b"x"))
+    await ground.read(client, b"200 OK")
+    client.send(call(2))
+    told.send(events)
+    time.sleep(stop_s)
+    return follower, conn
+
+
 @pytest.mark.parametrize("stop_s", [0.7, 2.6])
 def test_after_a_stop_nothing_goes_to_a_cache_whose_drain_was_told_meanwhile(stop_s: float) -> None:
-    """The drain stands in the feed's socket behind much else, and a call in its client's."""
+    """The drain stands in the feed's socket behind much else. The stop is longer than a drain's grace, and
+    than the feed may be silent."""
 
     async def play(ground: Ground) -> None:
-        cache, loop = ground.cache("c0"), asyncio.get_running_loop()
-        ground.script.arrived = lambda request: ask(request, "c0")
-        feed = listen(("127.0.0.1", 0))
-        ground.opened.append(feed)
-        follower = ground.follow(feed.getsockname())
-        told = await ground.accepted(feed)
-        await ground.read(told, b"follow 0\n")
-        client = await ground.client()
-        await loop.sock_sendall(client, call(1))
-        conn = await ground.accepted(cache)  # a connection to the cache is up, and at rest after this
-        await ground.read(conn, f"{1:016x}".encode())
-        await loop.sock_sendall(conn, resp.command(f"{1:016x}".encode(), b"data", FOUND, b"x"))
-        await ground.read(client, b"200 OK")
         row = {"id": "c0", "addr": "127.0.0.1:1", "zone": "edge-1", "kind": "box", "state": "DRAINING"}
         drain = {"index": 401, "endpoints": {"version": 2, "servers": [row]}}
-        client.send(call(2))
-        told.send(_purge_lines(1, 400) + json.dumps(drain).encode() + b"\n")
-        time.sleep(stop_s)  # longer than a drain's grace, and than the feed may be silent
+        events = _purge_lines(1, 400) + json.dumps(drain).encode() + b"\n"
+        follower, _ = await _stopped(ground, stop_s, events)
         await ground.until(lambda: len(ground.script.ends()) == 2)
         assert ground.script.ends()[1] is i.Status.NOT_SENT and follower.last == 401
 
     played(play)
 
 
+def test_an_error_in_the_feed_s_news_after_a_stop_holds_up_no_send(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(ground: Ground) -> None:
+        def fails(index: int) -> None:
+            raise RuntimeError("planted")
+
+        monkeypatch.setattr(ground.core, "feed_observed", fails)
+        _, conn = await _stopped(ground, 0.3, _purge_lines(1, 1))
+        await ground.read(conn, f"{2:016x}".encode())
+        assert ground.counters.counts["error.coordinator"] == 1
+
+    played(play)
+
+
 def test_after_a_stop_an_answer_that_came_in_time_is_heard_before_timers() -> None:
     """Else each cache that was asked seems silent."""
 
