--- a/onyxwick/door/bridge.py
+++ b/onyxwick/door/bridge.py
@@ -19,7 +19,7 @@
 from onyxwick.counters import Counters
 from onyxwick.door import orders as o
 from onyxwick.door.figures import figures
-from onyxwick.door.lasting import Lasting
+from onyxwick.door.persisted_commands import PersistedCommands
 
 log = logs.get()
 RECALL_S, RECALL_RETRY_S = 2.0, 0.05  # how long a start waits for a predecessor's file, and between two tries
@@ -35,9 +35,9 @@
         counters: Counters,
         ready_word: Callable[[], str],
         drained: Callable[[bool], None],
-        lasting: Lasting | None,
+        persisted: PersistedCommands | None,
     ) -> None:
-        self.core, self.members, self.counters, self.lasting = core, members, counters, lasting
+        self.core, self.members, self.counters, self.persisted = core, members, counters, persisted
         self.ready_word, self.drained = ready_word, drained
         self.known = o.Known()
         self.orders = self.applied = o.Orders()  # the latest; those the director's loop has taken up
@@ -47,10 +47,10 @@
     def recall(self) -> None:
         """What a predecessor was ordered, before anything is listed or sent. A file that cannot be read is
         tried again for `RECALL_S`; after that the program starts, and the door goes on trying."""
-        if self.lasting is None:
+        if self.persisted is None:
             return
         try:
-            read = _read_patiently(self.lasting)
+            read = _read_patiently(self.persisted)
         except (OSError, ValueError) as error:
             log.error("the door's file of a predecessor cannot be read", error=str(error))
             return
@@ -105,19 +105,19 @@
         )
 
 
-def _read_patiently(lasting: Lasting) -> tuple[o.Orders, list[str]] | None:
+def _read_patiently(persisted: PersistedCommands) -> tuple[o.Orders, list[str]] | None:
     """The file's orders; OSError where it could not be read for so long. Blocks: nothing is served yet."""
     end = time.monotonic() + RECALL_S
     while True:
         try:
-            return lasting.read()
+            return persisted.read()
         except OSError:
             if time.monotonic() > end:
                 raise
             time.sleep(RECALL_RETRY_S)
 
 
-def lasting(folder: str | None, name: str) -> Lasting | None:
+def persisted_commands(folder: str | None, name: str) -> PersistedCommands | None:
     """The file shared with a successor, in the folder that the platform gives both (`$TMPDIR`); None where
     no such folder is given, as a folder of some other use may hold what another director left."""
-    return Lasting(Path(folder), name) if folder else None
+    return PersistedCommands(Path(folder), name) if folder else None
--- a/onyxwick/door/orders.py
+++ b/onyxwick/door/orders.py
@@ -4,7 +4,7 @@
 until one call lets it back in (enable), whatever the coordinator tells in between. It has restarted meanwhile
 and comes back cold: for the module it has just started at the moment it is let back in, so that the cold
 budget holds for it. The orders are one value with a version, taken over whole by a successor process
-(`door/lasting.py`); of two, the one with the higher version holds.
+(`door/persisted_commands.py`); of two, the one with the higher version holds.
 
 Rejected: an event of the module's own for a ban. The module knows drains and starts already, and its 740
 lines are nearly all used; a cache left out is shown to it as draining, one let back in as just started.
--- a/onyxwick/door/lasting.py
+++ b/onyxwick/door/persisted_commands.py
@@ -44,7 +44,7 @@
         return ""
 
 
-class Lasting:
+class PersistedCommands:
     """One file of orders; I/O through the standard calls on the folder it is given."""
 
     def __init__(self, folder: Path, name: str, clock: SteadyClock = steady_us) -> None:
--- a/onyxwick/door/server.py
+++ b/onyxwick/door/server.py
@@ -23,7 +23,7 @@
 from onyxwick.counters import Counters
 from onyxwick.door import orders as o
 from onyxwick.door.calls import Call, Kind, Refused, route
-from onyxwick.door.lasting import Lasting
+from onyxwick.door.persisted_commands import PersistedCommands
 
 log = logs.get()
 PLACES = 32  # callers at once; a newcomer displaces the one open longest
@@ -57,11 +57,11 @@
         director: Director,
         orders: o.Orders,
         known: o.Known,
-        lasting: Lasting | None,
+        persisted: PersistedCommands | None,
         clock: Callable[[], int],
     ) -> None:
         self.bound, self.director, self.orders, self.known = bound, director, orders, known
-        self.lasting, self.clock = lasting, clock
+        self.persisted, self.clock = persisted, clock
         self.unwritten: dict[str, o.Change] = {}  # ordered here, not in the file yet; by cache, "" the drain
         self.counters = Counters()  # of this thread alone: the director's are written by its own
         self.server = HttpServer(
@@ -142,7 +142,7 @@
             self.orders = orders
             self.director.ordered(orders, [])
             self.counters.add("door.ordered")
-            if self.lasting is not None:
+            if self.persisted is not None:
                 self.unwritten.pop(what, None)
                 self.unwritten[what] = change
         self._synchronise()
@@ -152,28 +152,28 @@
 
         Nothing is written over a file that could not be read: another process's orders may stand in it.
         """
-        if self.lasting is None:
+        if self.persisted is None:
             return
         try:
             if self.unwritten:
-                self._write(self.lasting)
+                self._write(self.persisted)
             else:
-                self._take_over(self.lasting)
+                self._take_over(self.persisted)
         except OSError as error:
             self.counters.add("door.unsaved" if self.unwritten else "door.unreadable")
             log.warning("the door's file fails, and is tried again", error=str(error))
 
-    def _write(self, lasting: Lasting) -> None:
+    def _write(self, persisted: PersistedCommands) -> None:
         """This one's commands on top of what the other process wrote, which can write nothing meanwhile."""
-        with lasting.locked():
-            self._take_over(lasting)
-            written = lasting.write(self.orders, self.known)
+        with persisted.locked():
+            self._take_over(persisted)
+            written = persisted.write(self.orders, self.known)
         self.unwritten.clear()
         self.director.written(self.orders.version, written)
 
-    def _take_over(self, lasting: Lasting) -> None:
+    def _take_over(self, persisted: PersistedCommands) -> None:
         try:
-            read = lasting.read()
+            read = persisted.read()
         except ValueError as error:  # no file of orders: there is nothing in it to keep
             self.counters.add("door.unreadable")
             log.warning("the door's file cannot be used", error=str(error))
@@ -186,7 +186,7 @@
 
     async def _look(self) -> None:
         """Look at the file again and again: what another process wrote, and whether it takes what is owed."""
-        while self.lasting is not None:
+        while self.persisted is not None:
             await asyncio.sleep(LOOK_S)
             try:
                 self._synchronise()
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -122,7 +122,7 @@
         """The director's side of the operators' door, where the configuration gives one."""
         if self.config.admin is None:
             return None
-        from onyxwick.door.bridge import Bridge, lasting
+        from onyxwick.door.bridge import Bridge, persisted_commands
 
         bridge = Bridge(
             self.core,
@@ -130,7 +130,7 @@
             self.counters,
             self.ready_word,
             self._drained,
-            lasting(os.environ.get("TMPDIR"), self.config.name),
+            persisted_commands(os.environ.get("TMPDIR"), self.config.name),
         )
         bridge.recall()
         self.core.adjust_list = bridge.shown
@@ -274,7 +274,7 @@
                 f"the operators' door cannot listen on {written(address)}: {error.strerror}"
             ) from None
         bridge.loop = loop
-        door = Door(bound, address, bridge, bridge.orders, bridge.known, bridge.lasting, steady_us)
+        door = Door(bound, address, bridge, bridge.orders, bridge.known, bridge.persisted, steady_us)
         door.start()
         side.append(self._keep("publish", lambda: self._publish(bridge)))
         self.door_counters = door.counters
