Failing test: time told after a stop when the loop takes long to read what stood in its sockets

To blame: StallWatch forgets a stall 50 ms after the first look at the clock, and forty directors on ten cores take longer to come round to a socket.

--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -15,6 +15,7 @@
 import pytest
 
 from onyxwick import interface as i
+from onyxwick.core.stall import StallWatch
 from onyxwick.net import coordinator, fastcgi, resp
 from onyxwick.net.buffer import Buffer
 from onyxwick.net.coordinator import Coordinator
@@ -544,3 +545,17 @@
         await ground.read(conn, lifecycle.request.id.encode())
 
     played(play)
+
+
+def test_what_stood_in_sockets_in_a_stop_has_waited_though_the_loop_takes_long_to_come_round_to_it() -> None:
+    watch, woken = StallWatch(100.0), 102.0
+    watch.tick(woken)
+    assert watch.turn(woken + 0.09) == 100.0  # a turn that is long, and no stall by itself
+    for turn in range(1, 4):
+        watch.tick(woken + 0.09 * turn)
+    assert watch.turn(woken + 0.35) == 100.0
+    later = woken + 0.35
+    for _ in range(20):
+        later += 0.06
+        watch.tick(later)
+    assert watch.turn(later) == later
