--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -113,7 +113,7 @@
     async def watch_turns(self) -> None:
         """Tell the watch that the loop turns, also while nobody asks."""
         while True:
-            self.core.stalls.turn(time.monotonic())
+            self.core.stalls.tick(time.monotonic())
             await asyncio.sleep(0.6 * STALL_S)
 
     def _make_room(self) -> bool:
--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -559,3 +559,11 @@
         later += 0.06
         watch.tick(later)
     assert watch.turn(later) == later
+
+
+def test_one_stall_after_the_other_counts_no_further_back_than_its_aftermath() -> None:
+    watch, now = StallWatch(100.0), 100.0
+    for _ in range(100):  # a process that is short of processor time for long
+        now += 0.15
+        watch.tick(now)
+        assert now - watch.turn(now) < 1.0
