--- a/tests/test_slow_and_failing_calls.py
+++ b/tests/test_slow_and_failing_calls.py
@@ -567,3 +567,20 @@
         now += 0.15
         watch.tick(now)
         assert now - watch.turn(now) < 1.0
+
+
+def test_a_call_that_is_being_written_as_the_end_closes_the_rest_is_answered() -> None:
+    async def play(ground: Ground) -> None:
+        client, loop = await ground.client(), asyncio.get_running_loop()
+        await ground.until(lambda: ground.front.clients)
+        text, pieces = call(1, path="/ping"), 8
+        client.send(text[: len(text) // pieces])
+        await asyncio.sleep(0.05)
+        ending = loop.create_task(ground.front.finish(0.2, False))
+        for n in range(1, pieces):
+            await asyncio.sleep(0.1)
+            client.send(text[n * len(text) // pieces : (n + 1) * len(text) // pieces])
+        await ground.read(client, b"200 OK")
+        await ending
+
+    played(play)
