--- a/onyxwick/net/client.py
+++ b/onyxwick/net/client.py
@@ -407,8 +407,11 @@
         who is in the middle of one to end it."""
         if not self.calls and now - self.born < FIRST_CALL_S:
             return False
-        half = self.parser.half and now - self.used_at < room.HALF_REST_S
-        return not half and self.free(now, 0.0)
+        return not self.is_writing(now) and self.free(now, 0.0)
+
+    def is_writing(self, now: float) -> bool:
+        """Is it in the middle of a call, and at rest for no longer than a slow writer may be?"""
+        return self.parser.half and now - self.used_at < room.HALF_REST_S
 
     def overstays(self, now: float) -> bool:
         """Does it hold a place for nothing: silent, stuck in half a request, or idle for too long?
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -37,6 +37,7 @@
 ACCEPT_WAIT_S = 0.02  # between a connection's coming up and its accept, from which on it counts
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 ACCEPT_REST_S = 1.0  # for who waits to be accepted at the end, where accept fails meanwhile
+HALF_END_S = 1.2  # at the end, for calls that are being written when all else is closed
 ACCEPT_REST_MOST = 4 * BACKLOG  # accepted then at most: clients may go on coming
 
 
@@ -243,10 +244,13 @@
         end = time.monotonic() + STALLED_S
         while not self.core.idle.is_set() or (self._unheard() and time.monotonic() < end):
             await asyncio.sleep(READ_S)
+        half_end = time.monotonic() + HALF_END_S
         while self.clients and time.monotonic() < end:  # the sweep cuts off who does not end its side
+            now = time.monotonic()
             for client in list(self.clients):
-                if not client.shut_at and not client.open and not client.writes.pending:
-                    client.close_softly(time.monotonic(), ConnectionEnd.CLOSING)
+                owed = client.shut_at or client.open or client.writes.pending
+                if not owed and not (client.is_writing(now) and now < half_end):
+                    client.close_softly(now, ConnectionEnd.CLOSING)
             await asyncio.sleep(READ_S)
         tasks = list(self.clients.values())
         for client, task in list(self.clients.items()):
