Failing test: a race for the feed that is ended leaves its chosen socket open

Found by reading the change once more: FeedRace.run closes all but the chosen connection, also where it is cancelled (a reload that moves the feed in the turn after a catch-up), and then nobody owns that socket. Excluded: the other ends, each is closed.

--- a/tests/test_feed_race.py
+++ b/tests/test_feed_race.py
@@ -135,3 +135,19 @@
         feed.close()
 
     uvloop.run(asyncio.wait_for(play(), 20 * SILENT_S))
+
+
+def test_a_connection_that_was_chosen_is_closed_where_the_race_is_ended_from_outside() -> None:
+    async def play() -> None:
+        feed, loop = Feed(), asyncio.get_running_loop()
+        race = loop.create_task(feed.race.run())
+        conn = await feed.accepted()
+        conn.send(b"7\n")
+        time.sleep(0.01)
+        chosen = feed.race.speaking()
+        race.cancel()
+        await asyncio.gather(race, return_exceptions=True)
+        assert chosen is not None and chosen.fileno() < 0
+        feed.close()
+
+    uvloop.run(asyncio.wait_for(play(), 20 * SILENT_S))
