A race for the feed that is ended closes its chosen socket too; standard names, one silence limit

Cause: FeedRace.run kept the chosen connection open on every way out. Change: only where it returns it. Renames: PendingConnection, first_readable, has_received; SILENT_S stands once; Patience's use as a context, which nothing calls any more, is gone.

--- a/onyxwick/core/pacing.py
+++ b/onyxwick/core/pacing.py
@@ -60,8 +60,7 @@
 class Patience:
     """A time limit that an attempt which ran into it doubles for the next one, up to a bound, and then begins
     anew: an attempt that takes longer than the usual limit gets through, and none waits long for ever.
-
-    Used as a context: a TimeoutError extends it, an end without one resets it. Seconds.
+    Seconds.
     """
 
     def __init__(self, first_s: float, most_doublings: int) -> None:
@@ -79,12 +78,3 @@
     def reset(self) -> None:
         """An attempt got through."""
         self.doublings = 0
-
-    def __enter__(self) -> None:
-        return None
-
-    def __exit__(self, kind: type[BaseException] | None, *_: object) -> None:
-        if kind is None:
-            self.reset()
-        elif issubclass(kind, TimeoutError):
-            self.extend()
--- a/onyxwick/net/coordinator.py
+++ b/onyxwick/net/coordinator.py
@@ -20,10 +20,9 @@
 from onyxwick.core.pacing import BackoffPolicy, Patience, ReconnectBackoff
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import Buffer, readable, unread
-from onyxwick.net.feed_race import FeedRace
+from onyxwick.net.feed_race import SILENT_S, FeedRace
 
 log = logs.get()
-SILENT_S = 2.2  # a line comes each second: without a byte for so long the connection is broken
 LINE_S = 10.0  # for a line whose bytes come without a pause: a whole list on a slow connection
 GAP_TRIES = 4  # connections on which an event is missing before it is given up
 APPLY_TRIES = 3  # of an event whose application fails; then it is passed over, as the feed must go on
@@ -306,7 +305,7 @@
         """Take in what stands in the feed's socket before its reader's turn, for `CATCH_UP_S` at most."""
         sock, end = self.sock, time.monotonic() + CATCH_UP_S
         if sock is None and self.race is not None:
-            sock = self.race.speaking()
+            sock = self.race.first_readable()
         if sock is None:
             return
         try:
--- a/onyxwick/net/feed_race.py
+++ b/onyxwick/net/feed_race.py
@@ -21,13 +21,13 @@
 LOOK_S = 0.05  # between two looks whether it is time for another one
 
 
-class Attempt:
+class PendingConnection:
     """One connection on its way to its first byte."""
 
     def __init__(self, address: Address, greeting: Callable[[], bytes]) -> None:
         self.address, self.greeting = address, greeting
         self.began, self.up = time.monotonic(), False
-        self.heard = False
+        self.received = False
         self.sock: socket.socket | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -40,7 +40,7 @@
         await loop.sock_sendall(sock, self.greeting())
         self.up = True
         await readable(loop, sock)
-        self.heard = True
+        self.received = True
 
     async def end(self, kept: socket.socket | None) -> None:
         """Stop it; its socket is closed unless it is the one that is kept."""
@@ -53,9 +53,9 @@
         """Is it time to try another one beside it?"""
         return now - self.began > (SILENT_S if self.up else CONNECT_S)
 
-    def speaks(self) -> bool:
+    def has_received(self) -> bool:
         """Has it brought bytes?"""
-        return self.heard or (self.up and self.sock is not None and unread(self.sock) > 0)
+        return self.received or (self.up and self.sock is not None and unread(self.sock) > 0)
 
 
 class FeedRace:
@@ -66,27 +66,32 @@
 
     def __init__(self, address: Address, greeting: Callable[[], bytes]) -> None:
         self.address, self.greeting = address, greeting
-        self.attempts: list[Attempt] = []
-        self.newest: Attempt | None = None
+        self.attempts: list[PendingConnection] = []
+        self.newest: PendingConnection | None = None
         self.kept: socket.socket | None = None
 
     async def run(self) -> socket.socket:
         """The socket that is kept; OSError where the last connection failed and none is under way."""
         try:
-            while (kept := self.speaking()) is None:
+            while (kept := self.first_readable()) is None:
                 await self._drop_failed()
                 await self._try_another()
                 tasks = {attempt.task for attempt in self.attempts}
                 await asyncio.wait(tasks, timeout=LOOK_S, return_when=asyncio.FIRST_COMPLETED)
-            return kept
-        finally:
-            for attempt in self.attempts:
-                await attempt.end(self.kept)
+        except BaseException:  # ended from outside, or failed: nobody reads from the one it had chosen
+            await self._end_all(None)
+            raise
+        await self._end_all(kept)
+        return kept
 
-    def speaking(self) -> socket.socket | None:
+    async def _end_all(self, kept: socket.socket | None) -> None:
+        for attempt in self.attempts:
+            await attempt.end(kept)
+
+    def first_readable(self) -> socket.socket | None:
         """The socket that has brought bytes, which is the one kept from then on; None: there is none yet."""
         if self.kept is None:
-            self.kept = next((attempt.sock for attempt in self.attempts if attempt.speaks()), None)
+            self.kept = next((attempt.sock for attempt in self.attempts if attempt.has_received()), None)
         return self.kept
 
     async def _drop_failed(self) -> None:
@@ -102,5 +107,5 @@
             return
         if len(self.attempts) >= RACED:
             await self.attempts.pop(0).end(None)
-        self.newest = Attempt(self.address, self.greeting)
+        self.newest = PendingConnection(self.address, self.greeting)
         self.attempts.append(self.newest)
--- a/tests/test_feed_race.py
+++ b/tests/test_feed_race.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from onyxwick.net import feed_race
-from onyxwick.net.feed_race import Attempt, FeedRace
+from onyxwick.net.feed_race import FeedRace, PendingConnection
 
 SILENT_S = 0.3
 GREETING = b"follow 7\n"
@@ -98,13 +98,13 @@
         (await race).close()
         feed.close()
 
-    class Counted(Attempt):
+    class Counted(PendingConnection):
         def __init__(self, *told: Any) -> None:
             nonlocal begun
             begun += 1
             super().__init__(*told)
 
-    monkeypatch.setattr(feed_race, "Attempt", Counted)
+    monkeypatch.setattr(feed_race, "PendingConnection", Counted)
     uvloop.run(asyncio.wait_for(play(), 40 * SILENT_S))
     assert 2 <= begun <= 7
 
@@ -126,7 +126,7 @@
         first, second = await feed.accepted(), await feed.accepted()
         second.send(b"7\n")
         time.sleep(0.01)  # the loop has not looked yet
-        chosen = feed.race.speaking()
+        chosen = feed.race.first_readable()
         assert chosen is not None and chosen.recv(64) == b"7\n"
         first.send(b"7\n")
         with await race as kept:
@@ -144,7 +144,7 @@
         conn = await feed.accepted()
         conn.send(b"7\n")
         time.sleep(0.01)
-        chosen = feed.race.speaking()
+        chosen = feed.race.first_readable()
         race.cancel()
         await asyncio.gather(race, return_exceptions=True)
         assert chosen is not None and chosen.fileno() < 0
