Tests: what the soak's records are settled to after stops, ends and lost feeds

Need: lab/soak/told.py decides which cut calls and late drains are findings, and had no planted breach of its own.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
 from onyxwick.lab.soak.run import Plan
 from onyxwick.lab.soak.shim import KILL_IN_WRITE, Control, Field, build
 from onyxwick.lab.soak.sweep import play, shrunk
+from onyxwick.lab.soak.told import Played, Span
 
 S = 1_000_000
 NOW = 1_000_000 * S
@@ -243,6 +244,31 @@
     assert len(_rules(records)) == found
 
 
+@pytest.mark.parametrize(
+    ("kind", "director", "found"),
+    [(None, 0, 1), (p.Kind.TERM, 0, 0), (p.Kind.TERM, 1, 1), (p.Kind.HOLD, 0, 1)],
+)
+def test_a_connection_that_ends_in_the_middle_of_a_call_is_found_unless_its_director_ends(
+    kind: p.Kind | None, director: int, found: int
+) -> None:
+    records, played = _sound(), Played()
+    records.cut.append((0, NOW + S))
+    if kind is not None:
+        played.spans.append(Span(kind, director, NOW, NOW + S))
+    played.settle(records, 2)
+    assert _rules(records) == ["director"] * found
+
+
+@pytest.mark.parametrize(("kind", "late"), [(p.Kind.STOP, False), (p.Kind.FEED_LOST, True)])
+def test_a_lost_feed_puts_off_what_a_drain_binds_and_a_stop_does_not(kind: p.Kind, late: bool) -> None:
+    records, played = _sound(), Played()
+    played.drained.append(("box-0", NOW, NOW + 9 * S))
+    played.spans.append(Span(kind, 0, NOW - S, NOW + 2 * S))
+    played.settle(records, 1)
+    told = next(span.told_us for span in records.unready if span.server == "box-0")
+    assert (told > NOW + S) is late
+
+
 # ---- real directors ---------------------------------------------------------------------------------------
 
 
