--- a/onyxwick/net/fastcgi.py
+++ b/onyxwick/net/fastcgi.py
@@ -170,8 +170,8 @@
         return bool(self.partial) or len(self.buffer) > 0
 
     def one_call_waits(self) -> bool:
-        """Does what was received and not yet taken hold the beginning of one call at most?"""
-        buffer, begun = self.buffer, 0
+        """Is one call at most under way, begun before or in what was received and not yet taken?"""
+        buffer, begun = self.buffer, len(self.partial)
         at = buffer.start
         while buffer.end - at >= HEADER.size:
             _, kind, _, size, pad = HEADER.unpack_from(buffer.data, at)
