One budget for the memory held for clients and caches; its largest idle holder goes first

Callers saw: a director past its memory limit while clients begin requests, or caches replies, and do not finish them. Cause: limits stood for each connection, request or reply alone (16,384 bytes of parameters and 48,000 of body, 32 on a connection, 4 MB a reply), and count times limit passed memory_mb. Change: core/memory_account.py counts what is really held by kind (capacity of buffers, an amount for objects), limited to a quarter of memory_mb. Above 3/4 of that limit holders without progress are released, the largest, then the newest first, with reason and bytes in log and counters (memory.released.KIND, ended.client.memory, ended.cache.memory, refused.memory): partial requests are rejected as overloaded, which loses nothing, a partial reply ends with its connection, unread answers after 0.1 s without a byte taken. Above it new requests are rejected, and large answers fail. Buffers grow no further than their message needs and shrink at rest; decoded parameters replace their bytes. The limit on unread answers now rejects only those who have answers unread: others were rejected for them. The total is bounded by the account.

--- a/onyxwick/config/director.py
+++ b/onyxwick/config/director.py
@@ -38,6 +38,9 @@
 BYTES_PER_MB = 1_000_000
 BYTES_PER_REQUEST = 65_536
 """Memory accounted for each request: its answer is buffered once as received and once as sent."""
+ACCOUNTED_DIVISOR = 4
+"""One part in this many is the limit of the memory account. The rest is for the program, the routing tables,
+what the allocator takes and short-lived copies."""
 RESERVED_SOCKETS = 24
 """Standard streams, the event loop's own descriptors, the feed, a file being reloaded, and a few spare."""
 OPERATIONS_SOCKETS = 40
@@ -96,6 +99,11 @@
         spare_mb = self.memory_mb - self.process_count * PROCESS_BASE_MB
         return max(MIN_REQUEST_MEMORY_MB, spare_mb // self.process_count) * BYTES_PER_MB
 
+    @property
+    def max_accounted_bytes(self) -> int:
+        """Return the limit on all memory held for clients and caches (`core/memory_account.py`)."""
+        return self.memory_mb * BYTES_PER_MB // self.process_count // ACCOUNTED_DIVISOR
+
     @property
     def max_held_bytes(self) -> int:
         """Return the limit on answer bytes buffered for slow readers."""
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -20,6 +20,7 @@
 from onyxwick.core.endpoints import EndpointTable
 from onyxwick.core.feed_intake import FeedIntake
 from onyxwick.core.invariants import Invariants
+from onyxwick.core.memory_account import HeldKind, MemoryAccount
 from onyxwick.core.model import CacheTransport, ClientRequest, FinalAnswer
 from onyxwick.core.request_lifecycle import (
     AttemptDecided,
@@ -72,6 +73,7 @@
         clock: Callable[[], int] = steady_us,
         max_open_requests: int = DEFAULT_MAX_OPEN_REQUESTS,
         make_router: Callable[[RouterSettings, int, int], RequestRouter] = Router,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.settings = settings
         self.endpoints = endpoints
@@ -97,6 +99,8 @@
         self.timers = RouterTimers(self.now, self.handle, counters)
         self.table = RequestTable(self.context)
         self.lifecycles = self.table.lifecycles
+        self.memory = memory or MemoryAccount(counters=counters)
+        self.memory.measures[HeldKind.REQUESTS] = self.table.held_bytes
         self.runner = RequestRunner(self.context, self.table, AttemptRunner(self.context))
         self.router = make_router(settings, seed, self.now())
         self.handle()
--- a/onyxwick/core/request_table.py
+++ b/onyxwick/core/request_table.py
@@ -14,6 +14,9 @@
 from onyxwick.core.reasons import UnservedReason
 from onyxwick.core.request_lifecycle import RequestLifecycle
 
+REQUEST_BYTES = 16_384
+"""Memory accounted for an open request with its tasks and attempts, beside its body and its answer."""
+
 
 class RequestTable:
     """Open requests by id. `idle` is set while no request is open."""
@@ -21,6 +24,7 @@
     def __init__(self, context: EngineContext) -> None:
         self.context = context
         self.lifecycles: dict[str, RequestLifecycle] = {}
+        self.body_bytes = 0  # of all open requests
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -41,6 +45,7 @@
             reply(FinalAnswer(AnswerStatus.FAILED))
             return None
         lifecycle = RequestLifecycle(request, transport=transport)
+        self.body_bytes += len(request.body)
         self.lifecycles[request.request_id] = lifecycle
         self.context.invariants.request_started(
             request.request_id,
@@ -53,11 +58,16 @@
         self.idle.clear()
         return lifecycle
 
+    def held_bytes(self) -> int:
+        """Return the memory accounted for all open requests."""
+        return len(self.lifecycles) * REQUEST_BYTES + self.body_bytes
+
     def remove(self, lifecycle: RequestLifecycle) -> None:
         """Remove a request that has its final answer and whose attempts have all ended."""
         request_id = lifecycle.request.request_id
         self.context.invariants.request_ended(request_id)
         del self.lifecycles[request_id]
+        self.body_bytes -= len(lifecycle.request.body)
         if not self.lifecycles:
             self.idle.set()
 
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -26,6 +26,7 @@
 from onyxwick.config.errors import ConfigUnreadableError
 from onyxwick.core import RequestEngine
 from onyxwick.core.endpoints import EndpointTable
+from onyxwick.core.memory_account import MemoryAccount
 from onyxwick.core.phase import PHASE_TRANSITIONS, DirectorPhase, IllegalPhaseChangeError, Readiness
 from onyxwick.core.shutdown import FINAL_FLUSH_S, ShutdownSchedule, ShutdownStage, drain_schedule
 from onyxwick.core.supervision import TaskSupervisor
@@ -73,12 +74,14 @@
         deadlines_us = [request_class.deadline_us for request_class in config.settings.classes]
         self.termination = Termination(max(deadlines_us, default=0) / 1e6)
         self.endpoints = EndpointTable()
+        self.memory = MemoryAccount(config.max_accounted_bytes, self.counters)
         self.cache_pool = CacheConnectionPool(
             self.endpoints,
             self.counters,
             config.settings.limits.connect_timeout_us,
             config.settings.report_names,
             max_connections=config.max_cache_connections,
+            memory=self.memory,
         )
         self.engine = RequestEngine(
             config.settings,
@@ -88,6 +91,7 @@
             self.counters,
             max_open_requests=config.max_open_requests,
             make_router=Router if self.service is None else self.service.make_router,
+            memory=self.memory,
         )
         self.coordinator = CoordinatorFeed(
             self.engine, self.counters, config.seed ^ FEED_SEED, config.settings.router_count
--- a/onyxwick/net/buffer.py
+++ b/onyxwick/net/buffer.py
@@ -12,6 +12,8 @@
 """The minimum free space that each receive call is given."""
 SHRINK_ABOVE_BYTES = 65_536
 """An empty buffer larger than this is replaced by a small one to release its memory."""
+REST_BYTES = 16_384
+"""`shrink` keeps an empty buffer up to this size."""
 
 
 class ReceiveBuffer:
@@ -26,6 +28,7 @@
         self.start = 0
         self.end = 0
         self.received_bytes = 0  # in total, through `append` and `receive_available`
+        self.expected_bytes = 0  # length of the message that is being received; 0 if not known
 
     def __len__(self) -> int:
         return self.end - self.start
@@ -51,6 +54,12 @@
         self.skip(size)
         return out
 
+    def shrink(self) -> None:
+        """Release the memory of an empty buffer that has grown, as its connection may rest for long."""
+        if self.start == self.end and len(self.data) > REST_BYTES:
+            self.data = bytearray(self.free_bytes)
+            self.start = self.end = 0
+
     def release(self) -> None:
         """Discard all bytes and the buffer itself; nothing is received any more."""
         self.data = bytearray()
@@ -112,6 +121,11 @@
             self.data[:unparsed] = self.data[self.start : self.end]
             self.start = 0
             self.end = unparsed
-        missing_bytes = size - (len(self.data) - self.end)
-        if missing_bytes > 0:
-            self.data.extend(bytes(max(missing_bytes, len(self.data))))
+        capacity = len(self.data)
+        if capacity - self.end >= size:
+            return
+        # Doubled, so that a long message is copied rarely, but no further than the message needs.
+        grown = 2 * capacity
+        if self.expected_bytes:
+            grown = min(grown, self.expected_bytes + size)
+        self.data.extend(bytes(max(self.end + size, grown) - capacity))
--- a/onyxwick/net/cache_connection.py
+++ b/onyxwick/net/cache_connection.py
@@ -15,6 +15,13 @@
 
 from onyxwick import logs
 from onyxwick.core.endpoints import EndpointTable
+from onyxwick.core.memory_account import (
+    MIN_RELEASED_BYTES,
+    HeldBytes,
+    HeldKind,
+    MemoryAccount,
+    Releasable,
+)
 from onyxwick.core.model import AttemptOutcome, AttemptSpec
 from onyxwick.core.reasons import ConnectionCloseReason
 from onyxwick.counters import Counters
@@ -23,7 +30,7 @@
 from onyxwick.net.cache_wire import CacheReply, decode_reply, encode_attempt, encode_cancel
 from onyxwick.net.socket_state import is_connected, unread_bytes
 from onyxwick.net.task_race import run_until_one_ends
-from onyxwick.net.write_queue import ByteBudget, PendingWrite, WriteProgress, WriteQueue
+from onyxwick.net.write_queue import PendingWrite, WriteProgress, WriteQueue
 
 log = logs.get()
 MAX_REMEMBERED_ANSWERS = 128
@@ -40,6 +47,8 @@
 """Approximate size of a command without its body."""
 MAX_LOW_WATER_BYTES = 32_768
 """Upper limit of the socket's receive low-water mark, well below the size of its receive buffer."""
+CONNECTION_BYTES = 8192
+"""Memory accounted for a connection beside its buffers."""
 MAX_LOGGED_REQUESTS = 8
 
 
@@ -48,7 +57,8 @@
 
     members: EndpointTable
     counters: Counters
-    budget: ByteBudget
+    budget: HeldBytes
+    memory: MemoryAccount
     connect_timeout_s: float
     report_names: tuple[str, ...]
 
@@ -97,6 +107,9 @@
         self.close_reason: ConnectionCloseReason | None = None  # None if the member closed it
         self.sock: socket.socket | None = None
         self.writes = WriteQueue(None, pool.budget)
+        self._held = pool.memory.held[HeldKind.CACHE_INPUT]
+        self._held_bytes = 0  # accounted for this connection
+        self._opened_at_s = self.last_received_at_s
         self._unread_bytes = 0
         self._progress_at_s = 0.0  # when a partial answer last grew
         self.task = asyncio.get_running_loop().create_task(self._run())
@@ -268,6 +281,8 @@
                 self._on_reply(decode_reply(words, self.pool.report_names))
             if len(parser.buffer):
                 self.partial_answer_since_s = self.partial_answer_since_s or now_s
+            self._account(CONNECTION_BYTES + len(parser.buffer.data) + len(parser.buffer))
+            self.pool.memory.reclaim(now_s)
             # A body may arrive slowly and in many pieces: the low-water mark gives one wake-up for all
             # missing bytes instead of one for each piece.
             missing_bytes = max(1, min(parser.needed_bytes - len(parser.buffer), MAX_LOW_WATER_BYTES))
@@ -275,6 +290,36 @@
                 low_water_bytes = missing_bytes
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, low_water_bytes)
 
+    # ---- memory ------------------------------------------------------------------------------------------
+
+    def _account(self, held_bytes: int) -> None:
+        """Set the memory accounted for the receive buffer: its capacity, and a copy of the reply in it."""
+        self._held.held_bytes += held_bytes - self._held_bytes
+        self._held_bytes = held_bytes
+
+    def releasable(self, now_s: float) -> Releasable | None:
+        """Return the memory of a partial reply; None if there is none or the connection closes already."""
+        if self.close_reason is not None or not len(self.parser.buffer):
+            return None
+        if self._held_bytes < MIN_RELEASED_BYTES:
+            return None
+        return Releasable(
+            self, HeldKind.CACHE_INPUT, self._held_bytes, self._progress_at_s, self._opened_at_s
+        )
+
+    def release_memory(self, now_s: float) -> None:
+        """Close the connection, as its partial reply holds memory that is needed."""
+        log.warning(
+            "memory released",
+            kind=HeldKind.CACHE_INPUT.value,
+            member=self.member,
+            bytes=self._held_bytes,
+            idle_s=round(now_s - self._progress_at_s, 3),
+            held=self.pool.memory.by_kind(),
+        )
+        self._account(0)
+        self.close(ConnectionCloseReason.MEMORY_NEEDED)
+
     def is_answer_stuck(self, now_s: float) -> bool:
         """Return whether a partial answer has stopped growing.
 
@@ -332,3 +377,4 @@
             attempt.settle(AttemptOutcome(self._unsent_status() if is_unsent else status))
         self.writes.close()
         self.parser.buffer.release()
+        self._account(0)
--- a/onyxwick/net/cache_pool.py
+++ b/onyxwick/net/cache_pool.py
@@ -14,13 +14,13 @@
 from onyxwick import logs
 from onyxwick.core.clock import steady_us
 from onyxwick.core.endpoints import EndpointTable
+from onyxwick.core.memory_account import HeldKind, MemoryAccount, Releasable
 from onyxwick.core.model import AttemptOutcome, AttemptSpec
 from onyxwick.core.reasons import ConnectionCloseReason
 from onyxwick.counters import Counters
 from onyxwick.interface import AttemptStatus
 from onyxwick.net.cache_connection import CacheConnection
 from onyxwick.net.errors import ConnectionLimitError
-from onyxwick.net.write_queue import ByteBudget
 
 log = logs.get()
 MIN_CONNECTIONS_PER_MEMBER = 2
@@ -54,6 +54,7 @@
         report_names: tuple[str, ...] = (),
         max_connections: int = 256,
         warm_up_share: Callable[[], float] | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.members = members
         self.counters = counters
@@ -63,7 +64,9 @@
         self.max_connections = max_connections
         self.connections: dict[str, list[CacheConnection]] = {}  # by member
         self.count = 0
-        self.budget = ByteBudget()
+        self.memory = memory or MemoryAccount(counters=counters)
+        self.memory.sources.append(self._releasable_memory)
+        self.budget = self.memory.held[HeldKind.CACHE_OUTPUT]
         members.replacement_listeners.append(self.on_member_changed)
 
     async def run(self, spec: AttemptSpec) -> AttemptOutcome:
@@ -137,6 +140,10 @@
     def _all_connections(self) -> list[CacheConnection]:
         return [each for connections in self.connections.values() for each in connections]
 
+    def _releasable_memory(self, now_s: float) -> list[Releasable]:
+        offers = [each.releasable(now_s) for each in self._all_connections()]
+        return [each for each in offers if each is not None]
+
     def forget(self, connection: CacheConnection) -> None:
         """Remove a closed connection from the pool."""
         connections = self.connections.get(connection.member, [])
--- a/onyxwick/net/call_intake.py
+++ b/onyxwick/net/call_intake.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from onyxwick.core import AnswerStatus, ClientRequest, FinalAnswer, RequestEngine
+from onyxwick.core.memory_account import HeldBytes, MemoryAccount
 from onyxwick.core.reasons import ConnectionCloseReason, UnservedReason
 from onyxwick.core.shutdown import ShutdownStage
 from onyxwick.counters import Counters
@@ -25,7 +26,6 @@
     encode_answer,
     read_request,
 )
-from onyxwick.net.write_queue import ByteBudget
 
 if TYPE_CHECKING:
     from onyxwick.cells.reservation import ConnectionReservation
@@ -45,7 +45,8 @@
     is_ready: Callable[[], bool]
     classes: dict[str, RequestClass]
     owner_fields: OwnerFields
-    budget: ByteBudget
+    budget: HeldBytes
+    memory: MemoryAccount
     max_held_bytes: int
     reservation: ConnectionReservation | None
     closing_retry_us: int
@@ -82,6 +83,10 @@
         """Count and log invalid input of the client."""
         ...
 
+    def has_unread_answers(self) -> bool:
+        """Return whether the client has not read all of its answers so far."""
+        ...
+
     def is_awaited(self, number: int) -> bool:
         """Return whether the client still waits for the answer to a call."""
         ...
@@ -140,7 +145,9 @@
             self._reject(
                 call, UnservedReason.REJECTED_IN_SHUTDOWN, "answer.passed_on", policy.closing_retry_us
             )
-        elif policy.budget.held_bytes > policy.max_held_bytes:
+        elif not policy.memory.has_room(time.monotonic()):
+            self._reject_overloaded(call, UnservedReason.MEMORY_LIMIT, "answer.overloaded")
+        elif policy.budget.held_bytes > policy.max_held_bytes and self.connection.has_unread_answers():
             self._reject_overloaded(call, UnservedReason.UNREAD_ANSWER_LIMIT, "answer.overloaded")
         elif policy.reservation is not None and not self._reserve_in_cell(policy.reservation, request.tenant):
             self._reject(call, UnservedReason.CELL_FULL, "answer.cell_full", policy.overload_retry_us)
--- a/onyxwick/net/fastcgi_parser.py
+++ b/onyxwick/net/fastcgi_parser.py
@@ -44,6 +44,12 @@
 """A request whose parameters are longer than this is rejected; the platform sends no such request."""
 MAX_BODY_BYTES = 48_000
 """A request whose body is longer than this is rejected; the platform sends no such request."""
+PARTIAL_CALL_BYTES = 512
+"""Memory accounted for a partial call beside its parameters and body."""
+PAIR_BYTES = 192
+"""Memory accounted for a decoded parameter beside its name and value."""
+MIN_DROPPED_BYTES = 4096
+"""`release_partial_calls` drops a partial record from this size on."""
 BAD_REQUEST = "400 Bad Request"
 TOO_LARGE = "413 Content Too Large"
 
@@ -55,6 +61,7 @@
     body: bytearray = field(default_factory=bytearray)
     pairs: dict[bytes, bytes] | None = None  # None until all parameters are received
     body_length: int | None = None  # from CONTENT_LENGTH; None if absent
+    held_bytes: int = PARTIAL_CALL_BYTES  # memory accounted for this call
 
 
 class FastCgiParser:
@@ -68,14 +75,61 @@
         self.partial: dict[int, _PartialCall] = {}
         self.open_requests: set[int] = set()  # received completely and not yet answered
         self.ignored_requests: set[int] = set()  # answered while partial: later records are ignored
+        self.partial_bytes = 0  # memory accounted for all partial calls
+        self._skipped_bytes = 0  # of a dropped record, still to be received
 
     @property
     def has_partial_call(self) -> bool:
         """Whether a call or a record has been received in part only."""
-        return bool(self.partial) or len(self.buffer) > 0
+        return bool(self.partial) or len(self.buffer) > 0 or self._skipped_bytes > 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory accounted for the receive buffer and all partial calls."""
+        return len(self.buffer.data) + self.partial_bytes
+
+    @property
+    def releasable_bytes(self) -> int:
+        """The memory that `release_partial_calls` would release."""
+        is_dropped = len(self.buffer) >= MIN_DROPPED_BYTES
+        return self.partial_bytes + (len(self.buffer.data) if is_dropped else 0)
+
+    def release_partial_calls(self) -> list[int]:
+        """Drop all partial calls and a long partial record; return the numbers of the calls.
+
+        The rest of that record is skipped as it arrives, so that the boundaries of the records are kept.
+        """
+        numbers = list(self.partial)
+        for number in numbers:
+            self._remove(number)
+            self.ignored_requests.add(number)
+        buffer = self.buffer
+        if len(buffer) >= MIN_DROPPED_BYTES and not self._skipped_bytes:
+            _, _, _, size, padding = HEADER.unpack_from(buffer.data, buffer.start)
+            self._skipped_bytes = HEADER.size + size + padding - len(buffer)
+            buffer.release()
+        return numbers
+
+    def _remove(self, number: int) -> _PartialCall:
+        partial = self.partial.pop(number)
+        self.partial_bytes -= partial.held_bytes
+        return partial
+
+    def _grow(self, partial: _PartialCall, added_bytes: int) -> None:
+        partial.held_bytes += added_bytes
+        self.partial_bytes += added_bytes
+
+    def _skip_dropped(self) -> bool:
+        """Skip the rest of a dropped record. Returns False while more of it has to arrive."""
+        skipped = min(self._skipped_bytes, len(self.buffer))
+        self.buffer.skip(skipped)
+        self._skipped_bytes -= skipped
+        return not self._skipped_bytes
 
     def has_at_most_one_call(self) -> bool:
         """Return whether at most one call is partial or begins in the bytes not yet parsed."""
+        if self._skipped_bytes:
+            return False  # the boundaries of the records are known again after the dropped one
         buffer = self.buffer
         call_count = len(self.partial)
         at = buffer.start
@@ -89,6 +143,7 @@
         """Discard all bytes and partial calls, as the connection is closed."""
         self.buffer.release()
         self.partial.clear()
+        self.partial_bytes = 0
         self.ignored_requests.clear()
 
     def messages(self) -> Iterator[FastCgiMessage]:
@@ -98,6 +153,8 @@
         """
         buffer = self.buffer
         unpack = HEADER.unpack_from
+        if self._skipped_bytes and not self._skip_dropped():
+            return
         while buffer.end - buffer.start >= HEADER.size:
             begin = buffer.start + HEADER.size
             version, kind, number, size, padding = unpack(buffer.data, buffer.start)
@@ -105,6 +162,7 @@
                 raise FastCgiFramingError(f"FastCGI record has version {version}, expected {VERSION}")
             end = begin + size + padding
             if buffer.end < end:
+                buffer.expected_bytes = end - buffer.start
                 return
             buffer.start = end
             content = bytes(buffer.data[begin : begin + size]) if size else b""
@@ -158,6 +216,7 @@
             return FastCgiReply(end, "too many concurrent requests on one connection")
         self.ignored_requests.discard(number)
         self.partial[number] = _PartialCall(bool(flags & KEEP_CONN))
+        self.partial_bytes += PARTIAL_CALL_BYTES
         return None
 
     def _handle_unmatched_record(self, number: int) -> FastCgiReply | None:
@@ -173,7 +232,8 @@
         return FastCgiReply(response, "record of a request without BEGIN_REQUEST")
 
     def _handle_abort(self, number: int) -> FastCgiMessage | None:
-        if self.partial.pop(number, None) is not None:
+        if number in self.partial:
+            self._remove(number)
             self.ignored_requests.add(number)
             return FastCgiReply(encode_end_request(number))
         return FastCgiAbort(number) if number in self.open_requests else None
@@ -183,9 +243,12 @@
             if len(partial.params) + len(content) > MAX_PARAMS_BYTES:
                 return self._reject(number, TOO_LARGE, "request parameters too long", stop_reading=True)
             partial.params += content
+            self._grow(partial, len(content))
             return None
         try:
             partial.pairs = decode_pairs(bytes(partial.params))
+            partial.params = bytearray()
+            self._grow(partial, len(partial.pairs) * PAIR_BYTES)
             partial.body_length = body_length(partial.pairs)
         except FastCgiPairError as error:
             return self._reject(number, BAD_REQUEST, str(error))
@@ -198,6 +261,7 @@
             return self._reject(number, BAD_REQUEST, "STDIN record before the end of PARAMS")
         if content:
             partial.body += content
+            self._grow(partial, len(content))
             if len(partial.body) > MAX_BODY_BYTES:
                 return self._reject(number, TOO_LARGE, "request body too long", stop_reading=True)
         received = len(partial.body)
@@ -206,7 +270,7 @@
             return self._reject(number, BAD_REQUEST, f"request body of {received} bytes, expected {expected}")
         if content:
             return None
-        del self.partial[number]
+        self._remove(number)
         self.open_requests.add(number)
         return FastCgiCall(number, partial.keep_connection, partial.pairs, bytes(partial.body))
 
@@ -214,6 +278,6 @@
         self, number: int, status: str, protocol_error: str, stop_reading: bool = False
     ) -> FastCgiReply:
         """Answer an invalid request with an error status and ignore its remaining records."""
-        del self.partial[number]
+        self._remove(number)
         self.ignored_requests.add(number)
         return FastCgiReply(encode_response(number, status, {}, b""), protocol_error, stop_reading)
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -18,6 +18,7 @@
 from onyxwick import logs
 from onyxwick.config.director import CLIENTS_PER_HALF_CLOSED, MIN_HALF_CLOSED
 from onyxwick.core import RequestEngine
+from onyxwick.core.memory_account import HeldKind, Releasable
 from onyxwick.core.reasons import ConnectionCloseReason
 from onyxwick.core.shutdown import DRAIN_LIMIT_S, FINAL_FLUSH_S, ShutdownKind, ShutdownSchedule, ShutdownStage
 from onyxwick.core.stall_detector import STALL_S
@@ -30,7 +31,6 @@
 from onyxwick.net.front_connection import FrontConnection
 from onyxwick.net.lingering import LINGER_READ_INTERVAL_S
 from onyxwick.net.socket_state import seconds_since_sent
-from onyxwick.net.write_queue import ByteBudget
 
 if TYPE_CHECKING:
     from onyxwick.cells.reservation import ConnectionReservation
@@ -89,7 +89,9 @@
         self.half_closed: set[FrontConnection] = set()  # end of stream written, the client's is awaited
         self.evicted: set[FrontConnection] = set()  # no longer in `connections`, sockets not yet closed
         self.next_connection_number: Callable[[], int] = partial(next, itertools.count(1))
-        self.budget = ByteBudget()
+        self.memory = core.memory
+        self.budget = self.memory.held[HeldKind.CLIENT_OUTPUT]
+        self.memory.sources.append(self._releasable_memory)
         self.shutdown: ShutdownSchedule | None = None  # of the drain or termination in progress
         self.stage = ShutdownStage.SERVING  # the stage that was last carried out
         self._stage_since_s = 0.0
@@ -333,6 +335,18 @@
             self.evicted.add(connection)
             self.connections.pop(connection).cancel()
 
+    def release(self, connection: FrontConnection, now_s: float) -> None:
+        """Close a connection whose memory is needed and which is owed nothing that it reads."""
+        if connection.writes.pending_bytes:
+            connection.begin_closing(ConnectionCloseReason.MEMORY_NEEDED)
+            self.connections[connection].cancel()
+        else:
+            self._evict(connection, now_s, ConnectionCloseReason.MEMORY_NEEDED)
+
+    def _releasable_memory(self, now_s: float) -> list[Releasable]:
+        offers = [each.memory.releasable(now_s) for each in self.connections]
+        return [each for each in offers if each is not None]
+
     async def _wait_for_evictions(self) -> None:
         """Wait until few evicted connections are open, as they use descriptors beyond those of the slots."""
         while len(self.evicted) >= MAX_PENDING_CLOSES:
--- a/onyxwick/net/front_connection.py
+++ b/onyxwick/net/front_connection.py
@@ -22,6 +22,7 @@
 from onyxwick.net import fastcgi
 from onyxwick.net.arrival_clock import ArrivalClock
 from onyxwick.net.call_intake import CallIntake, IntakePolicy
+from onyxwick.net.connection_memory import ConnectionMemory
 from onyxwick.net.connection_slots import ConnectionSlot, exceeds_deadline
 from onyxwick.net.delivery import DeliveryTracker
 from onyxwick.net.errors import FastCgiFramingError
@@ -51,7 +52,9 @@
     ConnectionCloseReason.CLOSED_BY_PEER,
     ConnectionCloseReason.CONNECTION_ERROR,
     ConnectionCloseReason.WRITE_STALLED,
+    ConnectionCloseReason.MEMORY_NEEDED,
 )
+"""Closes that the client caused: it left, or read nothing while its answers were held for it."""
 
 
 class ConnectionOwner(IntakePolicy, Protocol):
@@ -60,6 +63,10 @@
     shutdown: ShutdownSchedule | None
     next_connection_number: Callable[[], int]
 
+    def release(self, connection: FrontConnection, now_s: float) -> None:
+        """Close a connection whose memory is needed and which is owed nothing that it reads."""
+        ...
+
     def report_bad_input(self, text: str) -> None:
         """Count and log invalid input of a client."""
         ...
@@ -95,6 +102,7 @@
         self.close_reason: ConnectionCloseReason | None = None  # None: closed by the client
         self.arrived_us = 0  # steady clock; no later than the arrival of the calls being parsed
         self.opened_at_s = time.monotonic()
+        self.memory = ConnectionMemory(self, owner)
         self.last_active_at_s = self.opened_at_s
         self.partial_call_since_s = self.opened_at_s
         self._answer_posted: asyncio.Future[None] | None = None
@@ -133,7 +141,11 @@
             await self._close_gracefully()
 
     def _is_backlogged(self) -> bool:
-        return self.writes.pending_bytes > PAUSE_READING_ABOVE_BYTES
+        return self.writes.held_bytes > PAUSE_READING_ABOVE_BYTES
+
+    def has_unread_answers(self) -> bool:
+        """Return whether answers wait for the client to read earlier ones."""
+        return self.writes.pending_bytes > 0
 
     def is_awaited(self, number: int) -> bool:
         """Return whether the client still waits for the answer to a call, by the state of the socket now:
@@ -164,6 +176,7 @@
         except FastCgiFramingError as error:
             self.protocol_error(str(error))
             self._fail_open_calls()
+        self.memory.update()
 
     def _parse_available(self) -> None:
         """Parse the bytes received and handle the complete messages."""
@@ -215,7 +228,7 @@
         self._abandon_open_calls()
         for number in numbers:
             self.send(number, fastcgi.encode_response(number, "400 Bad Request", {}, b""))
-        self.parser.partial.clear()
+        self.parser.release_partial_calls()
         self.stops_parsing = True
         self.begin_closing(ConnectionCloseReason.BAD_INPUT)
 
@@ -230,7 +243,7 @@
 
     def _answer(self, number: int, answer: FinalAnswer) -> None:
         del self.open_calls[number]
-        self.send(number, encode_answer(number, answer))
+        self.send(number, encode_answer(number, self.memory.limit_answer(answer)))
 
     def send(self, number: int, data: bytes) -> None:
         """Queue the answer to a call; it is dropped if the end of stream is already written."""
@@ -319,6 +332,7 @@
                         self._handle_message(message)
             except FastCgiFramingError:
                 self.stops_parsing = True
+            self.memory.update()
         return bool(data)
 
     def is_lingering(self, now_s: float) -> bool:
@@ -333,6 +347,7 @@
         self.sock.close()
         self.writes.close()
         self.parser.release()
+        self.memory.close()
         self._log_close()
         if self.cell is not None and self.owner.reservation is not None:
             self.owner.reservation.disconnect(self.cell)
--- a/onyxwick/net/resp.py
+++ b/onyxwick/net/resp.py
@@ -81,6 +81,7 @@
                 at = begin + size + CRLF_BYTES
                 if buffer.end < at:
                     self.needed_bytes = at - buffer.start
+                    buffer.expected_bytes = self.needed_bytes
                     return None
                 if data[at - 2] != CR or data[at - 1] != LF:
                     raise RespProtocolError(f"RESP bulk string of {size} bytes is not followed by CRLF")
--- a/onyxwick/net/write_queue.py
+++ b/onyxwick/net/write_queue.py
@@ -13,8 +13,12 @@
 from collections.abc import Callable
 from enum import Enum
 
+from onyxwick.core.memory_account import HeldBytes
 from onyxwick.net.socket_state import wait_writable
 
+WRITE_BYTES = 256
+"""Memory accounted for a pending write beside its bytes."""
+
 
 class WriteProgress(Enum):
     """The progress of a write."""
@@ -91,15 +95,6 @@
         on_started()
 
 
-class ByteBudget:
-    """The number of bytes waiting to be written on all connections that share the budget."""
-
-    __slots__ = ("held_bytes",)
-
-    def __init__(self) -> None:
-        self.held_bytes = 0
-
-
 class WriteQueue:
     """The pending writes of one connection.
 
@@ -109,7 +104,7 @@
 
     BATCH_BYTES = 65_536
 
-    def __init__(self, sock: socket.socket | None, budget: ByteBudget) -> None:
+    def __init__(self, sock: socket.socket | None, budget: HeldBytes) -> None:
         self.sock = sock
         self.budget = budget
         self.queue: deque[PendingWrite] = deque()
@@ -120,13 +115,18 @@
         self._batch: list[PendingWrite] = []  # the writes being sent
         self._posted: asyncio.Future[None] | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory accounted for the writes that are not finished."""
+        return self.pending_bytes + WRITE_BYTES * (len(self.queue) + len(self._batch))
+
     def post(self, pending_write: PendingWrite) -> PendingWrite:
         """Append a write to the queue and return it."""
         if not self.queue and not self.pending_bytes:
             self.drained.clear()
         self.queue.append(pending_write)
         self.pending_bytes += pending_write.counted_bytes
-        self.budget.held_bytes += pending_write.counted_bytes
+        self.budget.held_bytes += pending_write.counted_bytes + WRITE_BYTES
         if self._posted is not None and not self._posted.done():
             self._posted.set_result(None)
         return pending_write
@@ -168,12 +168,15 @@
         if written == len(data):
             self._finish_batch()
         elif rest := self._split_batch(written):
+            del batch, data  # freed while the rest waits
             await self._write_rest(loop, sock, rest)
         else:  # no byte was accepted: the writes are checked again once the socket is writable
             self.blocked_since_s = self.blocked_since_s or time.monotonic()
             await wait_writable(loop, sock)
 
-    async def _write_rest(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, rest: bytes) -> None:
+    async def _write_rest(
+        self, loop: asyncio.AbstractEventLoop, sock: socket.socket, rest: memoryview
+    ) -> None:
         """Send the rest of a write that was sent in part; it is completed unless the connection fails."""
         for at in range(0, len(rest), self.BATCH_BYTES):
             self.blocked_since_s = time.monotonic()
@@ -208,7 +211,7 @@
         self.pending_bytes += difference
         self.budget.held_bytes += difference
 
-    def _split_batch(self, written: int) -> bytes:
+    def _split_batch(self, written: int) -> memoryview:
         """Account for a batch of which only `written` bytes were sent.
 
         Returns the remaining bytes of the write that was sent in part, or no bytes. Writes of which nothing
@@ -217,7 +220,7 @@
         """
         batch = self._batch
         self._batch = []
-        rest = b""
+        rest = memoryview(b"")
         not_begun = list[PendingWrite]()
         for pending_write in batch:
             size = len(pending_write.data)
@@ -226,7 +229,7 @@
             if written >= size:
                 self._finish(pending_write, WriteProgress.WRITTEN)
             elif written > 0:
-                rest = pending_write.data[written:]
+                rest = memoryview(pending_write.data)[written:]
                 self._batch.append(pending_write)
             else:
                 pending_write.progress = WriteProgress.WAITING
@@ -246,7 +249,7 @@
     def _finish(self, pending_write: PendingWrite, progress: WriteProgress) -> None:
         pending_write.progress = progress
         self.pending_bytes -= pending_write.counted_bytes
-        self.budget.held_bytes -= pending_write.counted_bytes
+        self.budget.held_bytes -= pending_write.counted_bytes + WRITE_BYTES
         pending_write.data = b""
         pending_write.counted_bytes = 0
         pending_write.drop_callbacks()
@@ -256,7 +259,7 @@
 
     def close(self) -> None:
         """Discard all pending writes and remove them from the budget; nothing is written any more."""
-        self.budget.held_bytes -= self.pending_bytes
+        self.budget.held_bytes -= self.held_bytes
         self.pending_bytes = 0
         for pending_write in (*self._batch, *self.queue):
             pending_write.drop_callbacks()
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -68,7 +68,7 @@
 
 
 # Guards against: memory of closed connections that is kept until cycles of references are collected.
-@pytest.mark.parametrize("kind", [ClientHoard.TOO_LONG])
+@pytest.mark.parametrize("kind", [ClientHoard.TOO_LONG, ClientHoard.BODIES])
 def test_clients_one_after_the_other_leave_no_memory_behind(kind: ClientHoard, tmp_path: Path) -> None:
     data = hoarding_input(kind)
     with limited_director(tmp_path) as director, _repeating(lambda: _send_and_leave(director, data)):
@@ -79,7 +79,7 @@
 # Guards against: requests in part, bounded one by one, whose sum passes the memory limit.
 @pytest.mark.parametrize(
     "kind",
-    [ClientHoard.PARAMETERS, ClientHoard.RECORD, ClientHoard.RESTING],
+    [ClientHoard.PARAMETERS, ClientHoard.BODIES, ClientHoard.PAIRS, ClientHoard.RECORD, ClientHoard.RESTING],
 )
 def test_clients_that_hoard_requests_in_part_keep_nobody_from_being_served(
     kind: ClientHoard, tmp_path: Path
--- a/tests/test_waiting_attempts.py
+++ b/tests/test_waiting_attempts.py
@@ -15,6 +15,7 @@
 import pytest
 
 from onyxwick.core import AnswerStatus
+from onyxwick.core.memory_account import HeldBytes
 from onyxwick.interface import (
     AttemptStatus,
     EndpointListKind,
@@ -24,7 +25,7 @@
     Member,
     MemberState,
 )
-from onyxwick.net.write_queue import ByteBudget, PendingWrite, WriteQueue
+from onyxwick.net.write_queue import PendingWrite, WriteQueue
 from tests.director_harness import (
     DirectorHarness,
     encode_reply,
@@ -103,7 +104,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        queue, valid, dropped = WriteQueue(near, ByteBudget()), [True], list[str]()
+        queue, valid, dropped = WriteQueue(near, HeldBytes()), [True], list[str]()
         first = queue.post(PendingWrite(b"a" * 40_000))
         second = queue.post(PendingWrite(b"late", lambda: valid[0], lambda: dropped.append("late")))
         third = queue.post(PendingWrite(b"END"))
