A request of more than 512 parameters is rejected

Callers saw: 2,268 MB over idle with 80 told, from requests whose 16,384 bytes hold 4,032 pairs: decoded, a pair takes 200 bytes. Failed before: the test's request of 513 parameters was taken. The platform sends fewer than twenty.

--- a/onyxwick/net/fastcgi.py
+++ b/onyxwick/net/fastcgi.py
@@ -25,6 +25,8 @@
 MAX_RECORD_CONTENT_BYTES = 65_528
 """The maximum content of a record that is sent, a multiple of `RECORD_ALIGNMENT`."""
 MAX_CONTENT_LENGTH_DIGITS = 12
+MAX_PAIRS = 512
+"""The maximum number of name-value pairs of a request: decoded, a pair of 4 bytes takes 200."""
 RECORD_ALIGNMENT = 8
 SHORT_LENGTH_LIMIT = 128
 """The length of a name or value takes one byte below this limit, else four with the highest bit set."""
@@ -147,7 +149,10 @@
 
 
 def decode_pairs(data: bytes) -> dict[bytes, bytes]:
-    """Decode name-value pairs. Raises FastCgiPairError if their lengths do not fit the data."""
+    """Decode name-value pairs.
+
+    Raises FastCgiPairError if their lengths do not fit the data, or if there are more than `MAX_PAIRS`.
+    """
     pairs = {}
     at = 0
     end = len(data)
@@ -163,6 +168,8 @@
             name_end = at + size
             at = name_end + value_size
             pairs[data[name_end - size : name_end]] = data[name_end:at]
+            if len(pairs) > MAX_PAIRS:
+                raise FastCgiPairError(f"more than {MAX_PAIRS} name-value pairs")
     except IndexError:
         raise FastCgiPairError("name-value pair extends beyond the end of the data") from None
     if at > end:
--- a/tests/test_fastcgi_parser.py
+++ b/tests/test_fastcgi_parser.py
@@ -5,6 +5,8 @@
 from onyxwick.lab.soak.hoarding import (
     MAX_RECORD_BYTES,
     ClientHoard,
+    encode_begin,
+    encode_params,
     hoarding_input,
 )
 from onyxwick.net import fastcgi
@@ -32,3 +34,12 @@
     number = MAX_RECORD_BYTES - 1
     parser.buffer.append(fastcgi.encode_record(fastcgi.RecordType.STDIN, number, b""))
     assert not list(parser.messages())
+
+
+# Guards against: parameters that take fifty times their size in memory once they are decoded.
+def test_a_request_of_too_many_parameters_is_rejected() -> None:
+    parser = FastCgiParser()
+    pairs = {f"n{number}".encode(): b"" for number in range(fastcgi.MAX_PAIRS + 1)}
+    parser.buffer.append(encode_begin(1) + encode_params(1, pairs))
+    (reply,) = parser.messages()
+    assert isinstance(reply, fastcgi.FastCgiReply) and b"400" in reply.data and not parser.partial
