A cache's reply is bounded as a whole, not by each of its strings

The account bounds the sum of all; this bounds one reply: all strings together 278,528 bytes, its fields 16,384, rejected as soon as a length shows it, where one could take 4 MB and fields of 262,144 bytes were split into 87,000 names first.

--- a/onyxwick/net/cache_wire.py
+++ b/onyxwick/net/cache_wire.py
@@ -65,6 +65,8 @@
     "ORIGIN_ERR": AnswerDetail.ORIGIN_FAILED,
 }
 US_PER_MS = 1000
+MAX_FIELDS_BYTES = 16_384
+"""Fields of a reply that are longer than this are rejected; the platform's take some hundred bytes."""
 QUOTED_WORD_BYTES = 32
 QUOTED_FIELDS_BYTES = 64
 
@@ -122,6 +124,8 @@
         start = [word[:QUOTED_WORD_BYTES] for word in words[:2]]
         raise RespProtocolError(f"invalid reply {start!r}, expected ID WORD FIELDS BODY")
     request_id, word, text, body = words
+    if len(text) > MAX_FIELDS_BYTES:
+        raise RespProtocolError(f"reply fields of {len(text)} bytes, expected at most {MAX_FIELDS_BYTES}")
     fields = resp.parse_fields(text)
     try:
         first_byte_us = int(float(fields.get(FIRST_BYTE_MS) or 0) * US_PER_MS)
--- a/onyxwick/net/resp.py
+++ b/onyxwick/net/resp.py
@@ -15,6 +15,8 @@
 """An array with more elements than this is rejected; the platform's replies have no more."""
 MAX_BULK_BYTES = 262_144
 """A bulk string longer than this is rejected; the platform's replies contain no longer ones."""
+MAX_ARRAY_BYTES = MAX_BULK_BYTES + 16_384
+"""An array whose strings are together longer than this is rejected, as soon as their lengths show it."""
 MAX_LINE_BYTES = 32
 """The maximum size of a line that holds a count or a length."""
 CRLF = b"\r\n"
@@ -72,12 +74,14 @@
             return None
         count, at = head
         words = []
+        max_bytes = MAX_ARRAY_BYTES
         with memoryview(buffer.data) as data:
             for _ in range(count):
-                bulk = self._parse_length_line(at, BULK, MAX_BULK_BYTES)
+                bulk = self._parse_length_line(at, BULK, min(max_bytes, MAX_BULK_BYTES))
                 if bulk is None:
                     return None
                 size, begin = bulk
+                max_bytes -= size
                 at = begin + size + CRLF_BYTES
                 if buffer.end < at:
                     self.needed_bytes = at - buffer.start
--- a/tests/test_cache_replies.py
+++ b/tests/test_cache_replies.py
@@ -14,8 +14,11 @@
 from onyxwick.core.clock import steady_us
 from onyxwick.core.request_lifecycle import ClientDeparted
 from onyxwick.interface import AttemptStatus, FailRequest
+from onyxwick.lab.soak.hoarding import CacheHoard, hoarding_reply
 from onyxwick.net import cache_connection
 from onyxwick.net.cache_wire import decode_reply
+from onyxwick.net.errors import RespProtocolError
+from onyxwick.net.resp import CRLF, MAX_ARRAY_BYTES, RespParser
 from tests.director_harness import (
     HIT_REPLY_FIELDS,
     DirectorHarness,
@@ -127,3 +130,21 @@
         assert isinstance(harness.answers[0], FinalAnswer) and cache_connection.PARTIAL_ANSWER_LIMIT_S > 0
 
     run_scenario(scenario)
+
+
+# Guards against: one reply that takes 4 MB before it is found invalid.
+@pytest.mark.parametrize("kind", [CacheHoard.MANY_STRINGS, CacheHoard.LONG_FIELDS])
+def test_a_reply_that_is_too_long_is_rejected_when_its_lengths_show_it(kind: CacheHoard) -> None:
+    parser = RespParser()
+    reply = hoarding_reply(kind, b"4be0c1927d55a6f3")
+    held = 0
+    with pytest.raises(RespProtocolError):
+        for at in range(0, len(reply), 4096):
+            parser.buffer.append(reply[at : at + 4096])
+            for words in parser.messages():
+                decode_reply(words, ())
+            held = max(held, len(parser.buffer))
+        missing_bytes = parser.needed_bytes - len(parser.buffer) - len(CRLF)
+        parser.buffer.append(bytes(missing_bytes) + b"\r\n$0\r\n\r\n")
+        decode_reply(next(parser.messages()), ())
+    assert held <= MAX_ARRAY_BYTES
