The feed's lines, members and numbers are bounded; one bad number no longer stops it

Causes: OverflowError (JSON's 1e999 is infinite) is no ValueError, so it ended each connection of the feed at the same line for ever, and a start that has one in its configuration; a line of 4 MB parses to objects of twenty times its size; members of lists, lengths of names and groups had no bound.

--- a/onyxwick/core/clock.py
+++ b/onyxwick/core/clock.py
@@ -16,6 +16,8 @@
 US_PER_S = 1_000_000
 MAX_FEED_DELAY_US = 7 * US_PER_S
 """The feed announces every event within this time after it happens."""
+MAX_REMEMBERED_STARTS = 16_384
+"""Number of caches whose starts are remembered; the oldest is forgotten, and read again with its next row."""
 REMEMBERED_DELAYS = 8
 """Number of the most recent purges whose delays between timestamp and receipt are remembered."""
 
@@ -108,6 +110,8 @@
             elif not self._delays_us:
                 # No delay is known that would show by how much the clocks differ.
                 started_at_us = max(started_at_us, min(now_us, self.caught_up_at_us))
+        if len(self._starts) >= MAX_REMEMBERED_STARTS:
+            del self._starts[next(iter(self._starts))]
         self._starts[cache] = _KnownStart(timestamp_us, started_at_us)
         return started_at_us
 
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -18,7 +18,7 @@
 from onyxwick.core.clock import steady_us
 from onyxwick.core.context import EngineContext, MonotonicTime, report_violation
 from onyxwick.core.endpoints import EndpointTable
-from onyxwick.core.feed_intake import FeedIntake
+from onyxwick.core.feed_intake import MEMBER_BYTES, FeedIntake
 from onyxwick.core.invariants import Invariants
 from onyxwick.core.memory_account import HeldKind, MemoryAccount
 from onyxwick.core.model import CacheTransport, ClientRequest, FinalAnswer
@@ -101,6 +101,7 @@
         self.lifecycles = self.table.lifecycles
         self.memory = memory or MemoryAccount(counters=counters)
         self.memory.measures[HeldKind.REQUESTS] = self.table.held_bytes
+        self.feed.max_members = self.memory.limit_bytes // MEMBER_BYTES
         self.runner = RequestRunner(self.context, self.table, AttemptRunner(self.context))
         self.router = make_router(settings, seed, self.now())
         self.handle()
--- a/onyxwick/core/feed_intake.py
+++ b/onyxwick/core/feed_intake.py
@@ -7,16 +7,24 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, NamedTuple
 
+from onyxwick import logs
 from onyxwick.core.context import EngineContext
 from onyxwick.core.endpoints import Address
-from onyxwick.interface import EndpointListKind, EndpointsChanged, Member, ObjectsPurged
+from onyxwick.core.memory_account import DEFAULT_LIMIT_BYTES
+from onyxwick.interface import EndpointListKind, EndpointsChanged, Member, MemberState, ObjectsPurged
 
 if TYPE_CHECKING:
     from onyxwick.store.durable_state import DurableState
 
 
+log = logs.get()
+MEMBER_BYTES = 3000
+"""Memory that a listed member takes in all tables of the director together."""
+
+
 class _ReceivedMember(NamedTuple):
     member: Member
     address: Address
@@ -29,6 +37,7 @@
         self.context = context
         self.adjust_endpoints: Callable[[EndpointsChanged, int], EndpointsChanged] | None = None
         """Applies the operators' commands to a list event, given the time, before the router receives it."""
+        self.max_members = DEFAULT_LIMIT_BYTES // MEMBER_BYTES
         self._received: dict[str, _ReceivedMember] = {}  # by member id, as received before any adjustment
 
     def apply_endpoints(self, event: EndpointsChanged, addresses: dict[str, Address]) -> None:
@@ -37,6 +46,7 @@
         `addresses` has the address of each member that is not removed.
         """
         context = self.context
+        event = self._without_excess(event)
         self._remember(event, addresses)
         if context.durable is not None:
             context.durable.record_endpoints(event, context.now())
@@ -47,6 +57,26 @@
         context.endpoints.apply(event, addresses)
         context.handle(event)
 
+    def _without_excess(self, event: EndpointsChanged) -> EndpointsChanged:
+        """Return the event without the new members that are more than `max_members`."""
+        listed = set() if event.kind is not EndpointListKind.CHANGE else set(self._received)
+        if len(listed) + len(event.members) <= self.max_members:
+            return event
+        members = list[Member]()
+        for member in event.members:
+            if member.state is MemberState.REMOVED:
+                listed.discard(member.address)
+            elif member.address not in listed and len(listed) >= self.max_members:
+                continue
+            else:
+                listed.add(member.address)
+            members.append(member)
+        left_out = len(event.members) - len(members)
+        if left_out:
+            self.context.counters.add("feed.left_out", left_out)
+            log.error("members left out of the endpoint list", members=left_out, limit=self.max_members)
+        return replace(event, members=tuple(members))
+
     def _remember(self, event: EndpointsChanged, addresses: dict[str, Address]) -> None:
         if event.kind is not EndpointListKind.CHANGE:
             self._received.clear()
--- a/onyxwick/net/coordinator_feed.py
+++ b/onyxwick/net/coordinator_feed.py
@@ -20,6 +20,7 @@
 from onyxwick.core import RequestEngine
 from onyxwick.core.backoff import BackoffPolicy, DoublingTimeout, ReconnectBackoff
 from onyxwick.core.clock import FeedTimestamps
+from onyxwick.core.memory_account import HeldKind
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import ReceiveBuffer
 from onyxwick.net.errors import EventApplyError, FeedConnectionError
@@ -50,6 +51,16 @@
 MAX_RETRY_US = 1_000_000
 """Longest wait. With the limits for a connect and for silence, the feed is restored well within 4 s."""
 MAX_LINE_BYTES = 4_194_304
+LINE_SHARE = 1 / 4
+"""A line may take this share of the memory account, if that is less than `MAX_LINE_BYTES`."""
+PARSED_SHARE = 1 / 2
+"""The objects that a line is parsed to may take this share of the memory account."""
+CONTAINER_BYTES = 72
+"""Memory of an empty list or object of JSON and its place in another."""
+VALUE_BYTES = 64
+"""Memory of a short string or a number and its place."""
+MAX_INDEX = 2**53
+"""Indices are exact in JSON up to this number."""
 QUOTED_LINE_BYTES = 64
 LINE_HANDLING_LIMIT_S = 0.005
 """Time for handling lines in one turn of the event loop. A long list in one line may exceed it."""
@@ -61,6 +72,14 @@
 UNKNOWN_ADDRESS: Address = ("", 0)
 
 
+def _read_index(value: Any) -> int:
+    """Return the index of an event. Raises OverflowError, TypeError or ValueError if it is none."""
+    index = int(value)
+    if not 0 <= index <= MAX_INDEX:
+        raise ValueError(f"index {index!r:.32}, expected 0 to {MAX_INDEX}")
+    return index
+
+
 class CoordinatorFeed:
     """The subscription to one coordinator.
 
@@ -83,6 +102,9 @@
         self.sock: socket.socket | None = None  # socket of the connection that receives lines
         self.race: FeedRace | None = None  # while a connection is being established
         self.buffer = ReceiveBuffer()
+        self.held = core.memory.held[HeldKind.FEED]
+        self.max_line_bytes = min(MAX_LINE_BYTES, int(core.memory.limit_bytes * LINE_SHARE))
+        self.max_parsed_bytes = int(core.memory.limit_bytes * PARSED_SHARE)
         self.line_started_s = 0.0
         self.line_limit = DoublingTimeout(LINE_LIMIT_S, MAX_LINE_LIMIT_DOUBLINGS)
         self.stamps = FeedTimestamps()
@@ -102,17 +124,26 @@
         for event in events:
             for _ in range(MAX_APPLY_ATTEMPTS):
                 with contextlib.suppress(EventApplyError):
-                    self.apply(event)
+                    self._apply_configured(event)
                     break
-        self.last_index = max(self.last_index, int(known.get(INDEX) or 0))
+        try:
+            self.last_index = max(self.last_index, _read_index(known.get(INDEX) or 0))
+        except MALFORMED_EVENT_ERRORS as error:
+            self.report_bad_input(f"index of the configured events: {error!r}")
+
+    def _apply_configured(self, event: dict[str, Any]) -> None:
+        try:
+            self.apply(event)
+        except MALFORMED_EVENT_ERRORS as error:  # without a valid index
+            self.report_bad_input(f"configured event: {error!r}")
 
     def apply(self, event: dict[str, Any]) -> None:
         """Apply one event. An event that cannot be decoded is counted and skipped, as a retry would not help.
 
-        Raises EventApplyError if applying it failed and it should be requested again. Raises KeyError,
-        ValueError or TypeError if it has no valid index.
+        Raises EventApplyError if applying it failed and it should be requested again. Raises one of
+        `MALFORMED_EVENT_ERRORS` if it has no valid index.
         """
-        index = int(event[INDEX])
+        index = _read_index(event[INDEX])
         if index <= self.last_index:
             return
         try:
@@ -149,17 +180,25 @@
         Raises FeedConnectionError if events are missing or an event could not be applied.
         """
         try:
+            self._check_size(text)
             document = ujson.loads(text)
             if isinstance(document, dict):
-                self._check_sequence(int(document[INDEX]))
+                self._check_sequence(_read_index(document[INDEX]))
                 self.apply(document)
             elif isinstance(document, int):
-                self._on_announced_index(document)
+                self._on_announced_index(_read_index(document))
             else:
                 self.report_bad_input(f"line is neither an index nor an event: {text[:QUOTED_LINE_BYTES]!r}")
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED_EVENT_ERRORS as error:
             self.report_bad_input(f"{error!r} in {text[:QUOTED_LINE_BYTES]!r}")
 
+    def _check_size(self, text: bytes) -> None:
+        """Raise ValueError if the objects that a line is parsed to would take too much memory."""
+        containers = text.count(b"{") + text.count(b"[")
+        parsed_bytes = len(text) + CONTAINER_BYTES * containers + VALUE_BYTES * text.count(b",")
+        if parsed_bytes > self.max_parsed_bytes:
+            raise ValueError(f"line needs {parsed_bytes} bytes, at most {self.max_parsed_bytes} are allowed")
+
     def _check_sequence(self, index: int) -> None:
         """Raise FeedConnectionError if events are missing: a new connection requests them again.
 
@@ -242,6 +281,7 @@
             with contextlib.suppress(BlockingIOError):  # `catch_up` has already read the bytes
                 if not self.buffer.receive_available(sock):
                     raise FeedConnectionError("connection closed by the coordinator")
+            self.held.held_bytes = len(self.buffer.data)
             while self._handle_lines(LINE_HANDLING_LIMIT_S):
                 await asyncio.sleep(0)  # other tasks run before the next line
             self._check_partial_line()
@@ -249,8 +289,9 @@
 
     def _check_partial_line(self) -> None:
         """Raise FeedConnectionError if a partial line is too long or takes too long to arrive."""
-        if len(self.buffer) > MAX_LINE_BYTES:
-            raise FeedConnectionError(f"line exceeds {MAX_LINE_BYTES} bytes")
+        self.buffer.expected_bytes = self.max_line_bytes
+        if len(self.buffer) > self.max_line_bytes:
+            raise FeedConnectionError(f"line exceeds {self.max_line_bytes} bytes")
         if not len(self.buffer):
             self.line_started_s = time.monotonic()
             return
--- a/onyxwick/net/feed_wire.py
+++ b/onyxwick/net/feed_wire.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -49,7 +50,12 @@
 """Group number of a purge that names an object."""
 US_PER_MS = 1000
 QUOTED_ROW_CHARACTERS = 64
-MALFORMED_EVENT_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
+MAX_TEXT_CHARACTERS = 255
+"""A name that is longer than this is malformed; the platform's have some ten characters."""
+MAX_GROUP = 255
+"""Groups of objects are numbered from 0 to this."""
+OBJECT_ID_CHARACTERS = 16
+MALFORMED_EVENT_ERRORS = (KeyError, ValueError, TypeError, AttributeError, OverflowError)
 """Errors that the functions of this module raise for an event that is not in the expected form."""
 
 
@@ -97,6 +103,10 @@
 def _read_purge(document: dict[str, Any], stamps: FeedTimestamps, now_us: int) -> Purge:
     name = document.get(PURGED_OBJECT)
     group = document.get(PURGED_GROUP)
+    if name is not None and len(str(name)) > OBJECT_ID_CHARACTERS:
+        raise ValueError(f"object id of {len(str(name))} characters, expected {OBJECT_ID_CHARACTERS}")
+    if group is not None and not 0 <= int(group) <= MAX_GROUP:
+        raise ValueError(f"group {int(group)}, expected 0 to {MAX_GROUP}")
     return Purge(
         name=None if name is None else str(name),
         group=NO_GROUP if group is None else int(group),
@@ -134,18 +144,32 @@
 
 
 def _read_member(row: dict[str, Any], stamps: FeedTimestamps, now_us: int) -> Member:
-    name = str(row[NAME])
+    name = _text(row[NAME])
     return Member(
         address=name,
-        zone=str(row.get(ZONE, "")),
-        kind=str(row.get(KIND, "")),
+        zone=_text(row.get(ZONE, "")),
+        kind=_text(row.get(KIND, "")),
         cell=int(row.get(CELL) or 0),
         state=MEMBER_STATES[row[STATE]],
-        weight=float(row.get(WEIGHT) or 0),
+        weight=_finite(row.get(WEIGHT) or 0),
         started_at_us=stamps.start_time_us(name, int(row.get(STARTED_MS) or 0) * US_PER_MS, now_us),
     )
 
 
+def _text(value: object) -> str:
+    text = str(value)
+    if len(text) > MAX_TEXT_CHARACTERS:
+        raise ValueError(f"text of {len(text)} characters, expected at most {MAX_TEXT_CHARACTERS}")
+    return text
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"number {number}, expected a finite one")
+    return number
+
+
 def newest_timestamp_us(events: Iterable[object], latest_us: int) -> int:
     """Return the newest timestamp in the events, in microseconds of the feed's clock; 0 if there is none.
 
