Tables of purges and recent hits are bounded, and stay on the safe side when full

A feed that purges object after object filled three tables for their retention, and hits of ever other objects filled a fourth between two steps, without a bound. Now 8,192 purged objects are remembered one by one: the older half becomes one purge of all objects (fresher than needed), an attempt decided before a forgotten purge is not sent, 50,000 hits of all caches are remembered.

--- a/onyxwick/core/attempt_invariants.py
+++ b/onyxwick/core/attempt_invariants.py
@@ -37,6 +37,8 @@
 LIMIT_DEVIATIONS = 2
 """A slow-start limit of N requests is checked with slack: N + 2 sqrt(N) + 2 requests are tolerated, or N + 3
 sqrt(N) + 3 if N is under 30."""
+MAX_PURGES = 8192
+"""Purges that are checked; an older one goes unchecked."""
 MAX_REMEMBERED_ENTRIES = 4096
 """At most this many sends to each recovering member, and this many removed members, are remembered."""
 
@@ -125,6 +127,8 @@
         while self.purges[oldest].received_at_us < now_us - 2 * self.rules.purge_retention_us:
             del self.purges[oldest]
             oldest = next(iter(self.purges))
+        if len(self.purges) > MAX_PURGES:
+            del self.purges[oldest]
 
     def check(self, record: RequestRecord, attempt: AttemptStarted, now_us: int) -> None:
         """Check an attempt whose first bytes have been sent, and report each violated rule."""
--- a/onyxwick/core/endpoints.py
+++ b/onyxwick/core/endpoints.py
@@ -16,6 +16,9 @@
 PURGE_RETENTION_US = 10_000_000
 """No attempt waits this long to be sent, so an older purge invalidates no attempt."""
 
+MAX_PURGES = 8192
+"""Purges remembered by scope. Attempts decided before one that was forgotten are no longer valid."""
+
 Address = tuple[str, int]
 """Host and port."""
 
@@ -58,6 +61,7 @@
         """Called with the id of each member that was removed, was restarted or changed its address."""
         self.purge_times: dict[PurgeScope, ReceivedPurge] = {}  # oldest first
         self.purges_received = 0
+        self.forgotten_sequence = 0  # the sequence of the newest purge that was forgotten for lack of room
         self.excluded: frozenset[str] = frozenset()
         """Members disabled by the operators. Once set, from any thread, no request is sent to them."""
 
@@ -108,6 +112,8 @@
         while self.purge_times[oldest].received_at_us <= now_us - PURGE_RETENTION_US:
             del self.purge_times[oldest]
             oldest = next(iter(self.purge_times))
+        if len(self.purge_times) > MAX_PURGES:
+            self.forgotten_sequence = self.purge_times.pop(oldest).sequence
 
     def is_ready(self, member: str) -> bool:
         """Return whether new requests may be sent to a member."""
@@ -139,6 +145,8 @@
             return False
         if not self.purge_times:
             return True
+        if snapshot.purges_received < self.forgotten_sequence:
+            return False
         of_group = self.purge_times.get(PurgeScope(request.object_group, None))
         of_object = self.purge_times.get(PurgeScope(None, request.object_id))
         return all(
--- a/onyxwick/routing/popularity.py
+++ b/onyxwick/routing/popularity.py
@@ -38,6 +38,8 @@
 SLOWER_FILL_RATIO = 1.2
 """Fills count as slower if their mean latency is more than this multiple of that at the previous step."""
 MAX_COUNTED_OBJECTS = 50_000
+MAX_RECENT_HITS = 50_000
+"""Recent hits remembered of all caches together; further objects are not remembered as hit."""
 MIN_COUNT = 0.1
 """Objects whose decayed number of reads is below this are dropped."""
 COMPACTION_SHARE = 0.75
@@ -68,6 +70,8 @@
         the counted objects."""
         self.recent_hits: dict[str, dict[str, int]] = {}
         """Time of the last hit in microseconds, by cache and object."""
+        self.recent_hit_count = 0
+        """Entries of `recent_hits`, as of the last recompute and with those added since."""
         self.hits = 0
         """Hits since the last step of the feedback; `answers` counts all answers over the same time."""
         self.answers = 0
@@ -114,7 +118,12 @@
         self.answers += 1
         if hit:
             self.hits += 1
-            self.recent_hits.setdefault(cache, {})[object_id] = now_us
+            hits = self.recent_hits.setdefault(cache, {})
+            if object_id not in hits:
+                if self.recent_hit_count >= MAX_RECENT_HITS:
+                    return
+                self.recent_hit_count += 1
+            hits[object_id] = now_us
 
     def forget_cache(self, cache: str) -> None:
         """Drop the hits of a cache that has lost its copies."""
@@ -138,6 +147,7 @@
         for hits in self.recent_hits.values():
             for object_id in [name for name, hit_us in hits.items() if hit_us < oldest_us]:
                 del hits[object_id]
+        self.recent_hit_count = sum(len(hits) for hits in self.recent_hits.values())
 
     def _ranked_counts(self, unit: float) -> list[float]:
         """Return the counts that are kept, in ascending order; of a full table only the upper half."""
--- a/onyxwick/routing/purge.py
+++ b/onyxwick/routing/purge.py
@@ -12,6 +12,8 @@
 from onyxwick.routing.units import US_PER_S
 
 RETENTION_MARGIN_US = 1 * US_PER_S
+MAX_PURGED_OBJECTS = 8192
+"""Above this number, the older half of the purged objects is remembered as one purge of all objects."""
 
 
 class PurgeTimes:
@@ -21,6 +23,8 @@
         self.retention_us = settings.rules.purge_retention_us + RETENTION_MARGIN_US
         self.objects: dict[str, int] = {}
         self.groups: dict[int, int] = {}
+        self.all_objects_us: int | None = None
+        """Time of a purge that counts for all objects, in place of those that were too many to remember."""
 
     def __len__(self) -> int:
         return len(self.objects) + len(self.groups)
@@ -34,16 +38,26 @@
         else:
             name = event.object_id
             self.objects[name] = max(purged_us, self.objects.get(name, 0))
+            if len(self.objects) > MAX_PURGED_OBJECTS:
+                self._merge_older_half()
+
+    def _merge_older_half(self) -> None:
+        """Replace the older half of the purged objects by one purge of all objects: fresher than needed."""
+        oldest = sorted(self.objects, key=lambda name: self.objects[name])[: MAX_PURGED_OBJECTS // 2]
+        newest_us = max(self.objects.pop(name) for name in oldest)
+        self.all_objects_us = max(newest_us, self.all_objects_us or newest_us)
 
     def drop_expired(self, now_us: int) -> None:
         """Drop purges that are so old that no copy made before them is left."""
         oldest_us = now_us - self.retention_us
         self.objects = {name: at for name, at in self.objects.items() if at > oldest_us}
         self.groups = {group: at for group, at in self.groups.items() if at > oldest_us}
+        if self.all_objects_us is not None and self.all_objects_us <= oldest_us:
+            self.all_objects_us = None
 
     def purged_at_us(self, arrival: RequestArrived) -> int | None:
         """Return the time of the last purge that covered a request's object; None if none is remembered."""
-        object_us = self.objects.get(arrival.object_id)
+        object_us = self.objects.get(arrival.object_id, self.all_objects_us)
         group_us = None if arrival.object_group is None else self.groups.get(arrival.object_group)
         if object_us is None or group_us is None:
             return group_us if object_us is None else object_us
