Log and export what a director holds, by kind, so that a kill for memory can be told

Missing on call: how many bytes a process holds, in what and for whom; a process killed for memory and one killed by plan leave the same log. The list of metrics in tests/test_operations.py grows by the five new ones, all else is as strict.

--- a/onyxwick/core/memory_account.py
+++ b/onyxwick/core/memory_account.py
@@ -92,6 +92,7 @@
         self.measures: dict[HeldKind, Callable[[], int]] = {}
         self.sources: list[Callable[[float], Iterable[Releasable]]] = []
         self.peak_bytes = 0
+        self.process_bytes = 0  # memory of the process at the last look of the memory monitor
         self._counted = tuple(self.held.values())
         self._reclaim_at_bytes = int(limit_bytes * RECLAIM_SHARE)
         self._reclaimed_bytes = int(limit_bytes * RECLAIMED_SHARE)
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -22,7 +22,7 @@
 from onyxwick.config import ConfigError
 from onyxwick.config import director as director_config
 from onyxwick.config.address import format_address
-from onyxwick.config.director import DirectorConfig
+from onyxwick.config.director import BYTES_PER_MB, DirectorConfig
 from onyxwick.config.errors import ConfigUnreadableError
 from onyxwick.core import RequestEngine
 from onyxwick.core.endpoints import EndpointTable
@@ -36,6 +36,7 @@
 from onyxwick.net.cache_pool import CacheConnectionPool
 from onyxwick.net.coordinator_feed import CoordinatorFeed
 from onyxwick.net.front import FastCgiFront
+from onyxwick.net.memory_monitor import MemoryMonitor
 from onyxwick.routing import Router
 
 if TYPE_CHECKING:
@@ -75,6 +76,7 @@
         self.termination = Termination(max(deadlines_us, default=0) / 1e6)
         self.endpoints = EndpointTable()
         self.memory = MemoryAccount(config.max_accounted_bytes, self.counters)
+        self.memory_monitor = MemoryMonitor(self.memory, config.memory_mb * BYTES_PER_MB)
         self.cache_pool = CacheConnectionPool(
             self.endpoints,
             self.counters,
@@ -220,6 +222,7 @@
             start("sweep.front", self.front.sweep),
             start("turns", self.front.record_loop_ticks),
             start("collect", _collect_garbage),
+            start("memory", self.memory_monitor.run),
         ]
         gc.set_threshold(*GC_THRESHOLDS)
         gc.collect()  # otherwise gc.freeze() would also keep the garbage left by imports
--- a/onyxwick/operations/command_executor.py
+++ b/onyxwick/operations/command_executor.py
@@ -142,6 +142,9 @@
             len(self.engine.lifecycles),
             len(self.endpoints.listed),
             self.engine.router.ejected_count(),
+            self.engine.memory.by_kind(),
+            self.engine.memory.limit_bytes,
+            self.engine.memory.process_bytes,
         )
 
 
--- a/onyxwick/operations/metrics.py
+++ b/onyxwick/operations/metrics.py
@@ -1,8 +1,8 @@
 """The document of `GET /metrics`, built from the director's counters and a few gauges. No I/O.
 
-Each metric is named `app_NAME` and has a `value`. `service` breaks it down by request class, and
-`disposition` by how attempts ended. Counters start at 0 when the process starts; gauges are as of the last
-snapshot (`endpoint.METRICS_INTERVAL_S`). The platform defines the names.
+Each metric is named `app_NAME` and has a `value`. `service` breaks it down by request class, `disposition` by
+how attempts ended, `kind` by what memory is held for. Counters start at 0 when the process starts; gauges are
+as of the last snapshot (`endpoint.METRICS_INTERVAL_S`). The platform defines the names.
 """
 
 from __future__ import annotations
@@ -21,6 +21,11 @@
     open_requests: int = 0
     listed_members: int = 0
     ejected_members: int = 0
+    held_bytes: Mapping[str, int] = field(default_factory=dict)
+    """Bytes accounted by the memory account, by kind."""
+    held_limit_bytes: int = 0
+    anonymous_bytes: int = 0
+    """Memory that the process has allocated, at the last look of the memory monitor."""
 
 
 def _by_suffix(counts: Mapping[str, int], prefix: str) -> dict[str, int]:
@@ -30,6 +35,11 @@
     }
 
 
+def _by_kind(counts: Mapping[str, int], prefix: str) -> dict[str, object]:
+    kinds = _by_suffix(counts, prefix)
+    return {"value": sum(kinds.values()), "kind": kinds}
+
+
 def metrics_document(snapshot: MetricsSnapshot) -> dict[str, dict[str, object]]:
     """Return the document of `GET /metrics`."""
     counts = snapshot.counts
@@ -45,6 +55,11 @@
         "outstanding": {"value": snapshot.open_requests},
         "discovered": {"value": snapshot.listed_members},
         "ejected": {"value": snapshot.ejected_members},
+        "held_bytes": {"value": sum(snapshot.held_bytes.values()), "kind": dict(snapshot.held_bytes)},
+        "held_limit_bytes": {"value": snapshot.held_limit_bytes},
+        "memory_bytes": {"value": snapshot.anonymous_bytes},
+        "memory_released": _by_kind(counts, "memory.released."),
+        "memory_refused": {"value": counts.get("refused.memory", 0) + counts.get("answer.dropped", 0)},
         "sighup_applied": {"value": counts.get("reload.read", 0)},
         "sighup_rejected": {"value": counts.get("reload.bad", 0)},
     }
--- a/onyxwick/start.py
+++ b/onyxwick/start.py
@@ -29,6 +29,7 @@
 READ_ATTEMPTS = 50
 """Number of attempts to read a configuration file that is temporarily unreadable, before the last one."""
 EXIT_STARTUP_FAILED = 2
+EXIT_FAILED = 1
 
 
 class _Configuration(NamedTuple):
@@ -57,6 +58,9 @@
     except StartupError as error:
         print(f"onyxwick: {error}", file=sys.stderr)
         return EXIT_STARTUP_FAILED
+    except Exception:  # logged like all else, so that the log tells an end by an error from a kill
+        log.critical("director ended by an error", exc_info=True)
+        return EXIT_FAILED
     return 0
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -162,9 +162,22 @@
         "outcome.ok": 10,
         "outcome.reset": 2,
         "reload.read": 1,
+        "memory.released.client_input": 7,
+        "memory.released.cache_input": 2,
+        "refused.memory": 5,
+        "answer.dropped": 1,
     }
+    held = {"client_input": 300, "feed": 20}
     document = metrics_document(
-        MetricsSnapshot(counts, open_requests=4, listed_members=11, ejected_members=1)
+        MetricsSnapshot(
+            counts,
+            open_requests=4,
+            listed_members=11,
+            ejected_members=1,
+            held_bytes=held,
+            held_limit_bytes=1000,
+            anonymous_bytes=5000,
+        )
     )
     assert list(document) == [
         "app_succeeded",
@@ -174,6 +187,11 @@
         "app_outstanding",
         "app_discovered",
         "app_ejected",
+        "app_held_bytes",
+        "app_held_limit_bytes",
+        "app_memory_bytes",
+        "app_memory_released",
+        "app_memory_refused",
         "app_sighup_applied",
         "app_sighup_rejected",
     ]
@@ -185,4 +203,9 @@
         11,
         1,
     ]
+    assert document["app_held_bytes"] == {"value": 320, "kind": held}
+    assert document["app_memory_released"] == {"value": 9, "kind": {"cache_input": 2, "client_input": 7}}
+    assert [
+        document[f"app_{name}"]["value"] for name in ("held_limit_bytes", "memory_bytes", "memory_refused")
+    ] == [1000, 5000, 6]
     assert document["app_sighup_applied"]["value"] == 1 and document["app_sighup_rejected"]["value"] == 0
