A start waits up to 30 s for an address in use, and serves without the operations endpoint

Callers saw: a director that ends 3 s after its start with a traceback (status 1), or status 2 for the operations endpoint's address, while another process still holds the address; a stop meanwhile ended it with 1. Cause: the bind was retried for 3 s, in a blocking wait that no signal could end. Now the start waits in the event loop, logs each second, ends at once with 0 at SIGTERM, and with status 2 and a message after the 30 s that the platform allows a start. The operations endpoint waits for its address while clients are served.

--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -186,11 +186,17 @@
         if early_signals:
             self.reload()
         if self.termination.requested.is_set() and self.service is None:
-            # The stop was requested before any client could connect.
-            self._enter(DirectorPhase.DRAINING)
-            self._enter(DirectorPhase.STOPPED)
+            self._stop_before_serving()
             return
-        with self._listening_socket(inherited_socket) as sock:
+        sock = inherited_socket or await listening.listen_when_free(
+            self.config.listen, self.termination.requested.is_set
+        )
+        if sock is None:
+            if self.service is not None:
+                await self._close_service(self.service)
+            self._stop_before_serving()
+            return
+        with contextlib.nullcontext() if self.has_inherited_socket else sock:
             tasks = self._start_background_tasks()
             accept_task = self.supervisor.start("accept", lambda: self.front.accept(sock))
             self._begin_serving()
@@ -199,12 +205,10 @@
             await self._drain(accept_task, sock, self.termination.schedule)
         await self._stop(tasks)
 
-    def _listening_socket(
-        self, inherited_socket: socket.socket | None
-    ) -> contextlib.AbstractContextManager[socket.socket]:
-        if inherited_socket is not None:
-            return contextlib.nullcontext(inherited_socket)
-        return listening.listen(self.config.listen)
+    def _stop_before_serving(self) -> None:
+        """Stop at a request that came before any client could connect."""
+        self._enter(DirectorPhase.DRAINING)
+        self._enter(DirectorPhase.STOPPED)
 
     def _start_background_tasks(self) -> list[asyncio.Task[None]]:
         """Start all background tasks and return them; `_stop` cancels them."""
@@ -228,7 +232,7 @@
         gc.collect()  # otherwise gc.freeze() would also keep the garbage left by imports
         gc.freeze()  # later collections need not examine the objects that exist from the start
         if self.operations is not None:
-            self.operations.start()
+            tasks.append(start("operations", self.operations.start))
             tasks.append(start("publish", self.operations.publish_metrics))
         return tasks
 
--- a/onyxwick/operations/endpoint.py
+++ b/onyxwick/operations/endpoint.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
 from onyxwick import logs
-from onyxwick.config.address import Address, format_address
+from onyxwick.config.address import Address
 from onyxwick.core import RequestEngine
 from onyxwick.core.clock import steady_us
-from onyxwick.core.errors import StartupError
 from onyxwick.core.phase import Readiness
 from onyxwick.counters import Counters
 from onyxwick.net import listening
@@ -46,6 +46,10 @@
         self.executor.restore()
         engine.feed.adjust_endpoints = self.executor.adjust_endpoints
         self.server: OperationsServer | None = None
+        self._stopping = False
+
+    def _is_stopped(self) -> bool:
+        return self._stopping
 
     @property
     def commands(self) -> OperatorCommands:
@@ -57,15 +61,11 @@
         """Return the counters of the endpoint's thread; None before the thread is started."""
         return None if self.server is None else self.server.counters
 
-    def start(self) -> None:
-        """Listen and serve in a thread. Raises StartupError if the endpoint cannot listen on the address."""
-        try:
-            listening_socket = listening.listen(self.address)
-        except OSError as error:
-            address = format_address(self.address)
-            raise StartupError(
-                f"the operations endpoint cannot listen on {address}: {error.strerror}"
-            ) from None
+    async def start(self) -> None:
+        """Listen and serve in a thread, as soon as the address is free. The director serves meanwhile."""
+        listening_socket = await listening.listen_when_free(self.address, self._is_stopped, math.inf)
+        if listening_socket is None:
+            return
         executor = self.executor
         executor.loop = asyncio.get_running_loop()
         self.server = OperationsServer(
@@ -90,6 +90,7 @@
 
         A successor needs these commands, so writing the file is retried for all the time that is left.
         """
+        self._stopping = True
         server = self.server
         if server is None:
             return
--- /dev/null
+++ b/tests/test_start_and_signals.py
@@ -0,0 +1,84 @@
+"""No exit of the real program that nobody asked for: addresses in use, signals, numbers that overflow."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+from onyxwick.config.address import format_address
+from tests.limited_director import LimitedDirector, free_address, limited_director
+
+HELD_S = 5.0
+"""Longer than the program waited before it ended; a restart of 8 s was reported."""
+
+
+def _start_beside_holder(tmp_path: Path, held: socket.socket, **options: Any) -> LimitedDirector:
+    def change(configuration: dict[str, Any]) -> None:
+        configuration["listen"] = format_address(held.getsockname())
+
+    director = LimitedDirector(tmp_path, change=change, **options)
+    director.address = held.getsockname()
+    return director
+
+
+# Guards against: a director that ends because its address is still held by the process before it.
+def test_an_address_that_is_still_held_is_waited_for(tmp_path: Path) -> None:
+    held = socket.create_server(("127.0.0.1", 0), backlog=1)
+    director = _start_beside_holder(tmp_path, held)
+    try:
+        time.sleep(HELD_S)
+        assert director.is_running(), director.log.read_text()
+        held.close()
+        director.wait_ready()
+        assert '"event":"address in use, waiting"' in director.log.read_text()
+    finally:
+        held.close()
+        assert director.close() == 0
+
+
+def test_a_stop_while_the_address_is_held_ends_the_start_at_once(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0), backlog=1) as held:
+        director = _start_beside_holder(tmp_path, held)
+        while "address in use" not in director.log.read_text():
+            assert director.is_running(), director.log.read_text()
+            time.sleep(0.02)
+        stopped_at_s = time.monotonic()
+        assert director.close() == 0 and time.monotonic() - stopped_at_s < 1.0
+
+
+# Guards against: a director that ends, or serves nobody, because the operations endpoint's address is held.
+def test_a_held_operations_address_delays_only_the_operations_endpoint(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0), backlog=1) as held:
+        address: tuple[str, int] = held.getsockname()
+        environment = {"RELAY_ADMIN": f"{address[0]}:{address[1]}"}
+        director = LimitedDirector(tmp_path, environment=environment)
+        try:
+            director.wait_ready()
+            held.close()
+            _wait_for_answer(address)
+        finally:
+            assert director.close() == 0
+
+
+def _wait_for_answer(address: tuple[str, int]) -> None:
+    deadline_s = time.monotonic() + 5.0
+    while True:
+        with contextlib.suppress(OSError), socket.create_connection(address, 1.0) as sock:
+            sock.sendall(b"GET /ready HTTP/1.1\r\nHost: operations\r\n\r\n")
+            if sock.recv(4096).startswith(b"HTTP/1.1 200"):
+                return
+        assert time.monotonic() < deadline_s
+        time.sleep(0.05)
+
+
+def test_a_director_whose_feed_and_caches_are_not_there_yet_serves_pings(tmp_path: Path) -> None:
+    def change(configuration: dict[str, Any]) -> None:
+        configuration["coordinator"] = format_address(free_address())
+        configuration["known"] = {"index": 0, "updates": configuration["known"]["updates"]}
+
+    with limited_director(tmp_path, change=change) as director:
+        time.sleep(0.5)
+        assert director.is_running()
