--- a/tests/test_start_and_signals.py
+++ b/tests/test_start_and_signals.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import signal
 import socket
 import time
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from onyxwick.config.address import format_address
 from tests.limited_director import LimitedDirector, free_address, limited_director
 
@@ -74,6 +77,35 @@
         time.sleep(0.05)
 
 
+def _wait_for_first_line(pid: int) -> None:
+    """Wait until the program's first lines have run: before, no program in Python can handle a signal."""
+    while True:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+        ignored = next(line for line in lines if line.startswith("SigIgn:"))
+        if int(ignored.split()[1], 16) & 1 << (signal.SIGUSR2 - 1):
+            return
+        time.sleep(0.001)
+
+
+# Guards against: a signal for counters or traces that ends a director which does not handle it.
+@pytest.mark.parametrize("number", [signal.SIGUSR1, signal.SIGUSR2, signal.SIGHUP])
+def test_no_signal_ends_a_director_from_its_start_to_its_end(number: signal.Signals, tmp_path: Path) -> None:
+    director = LimitedDirector(tmp_path)
+    try:
+        _wait_for_first_line(director.process.pid)
+        deadline_s = time.monotonic() + 1.5
+        while time.monotonic() < deadline_s:
+            director.process.send_signal(number)
+            time.sleep(0.01)
+        director.wait_ready()
+        director.process.send_signal(signal.SIGTERM)
+        while director.is_running():
+            director.process.send_signal(number)
+            time.sleep(0.005)
+    finally:
+        assert director.close() == 0
+
+
 def test_a_director_whose_feed_and_caches_are_not_there_yet_serves_pings(tmp_path: Path) -> None:
     def change(configuration: dict[str, Any]) -> None:
         configuration["coordinator"] = format_address(free_address())
