An infinite number in the configuration is named in place of a traceback

Callers saw: status 1 and a traceback of OverflowError for limits.memory_mb or limits.sockets of 1e999. Cause: int() of an infinite float is no ValueError. Now status 2 and the field's name, as for any other number.

--- a/onyxwick/config/director.py
+++ b/onyxwick/config/director.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -135,7 +136,8 @@
 def _limit(data: Mapping[str, Any], name: str, lowest: int, default: int) -> int:
     limits = data.get("limits") or {}
     value = limits.get(name, default) if isinstance(limits, dict) else None
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < lowest:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not lowest <= value < math.inf:
         raise ConfigError(f"field 'limits.{name}' is not a number >= {lowest}", field=f"limits.{name}")
     return int(value)
 
@@ -150,7 +152,7 @@
 def _settings(data: Mapping[str, Any]) -> RouterSettings:
     try:
         return read_settings(SettingValues.from_json(_field(data, "settings", dict)))
-    except SettingError as error:
+    except (SettingError, OverflowError) as error:
         raise ConfigError(f"field 'settings': {error}", field="settings") from None
 
 
--- a/tests/test_start_and_signals.py
+++ b/tests/test_start_and_signals.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import os
 import signal
 import socket
+import subprocess
+import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -12,7 +16,7 @@
 import pytest
 
 from onyxwick.config.address import format_address
-from tests.limited_director import LimitedDirector, free_address, limited_director
+from tests.limited_director import EXAMPLE, LimitedDirector, free_address, limited_director
 
 HELD_S = 5.0
 """Longer than the program waited before it ended; a restart of 8 s was reported."""
@@ -106,6 +110,36 @@
         assert director.close() == 0
 
 
+# Guards against: numbers of the configuration that end the start in a traceback without the field's name.
+@pytest.mark.parametrize(
+    ("path", "field"),
+    [
+        (("limits", "memory_mb"), "memory_mb"),
+        (("limits", "sockets"), "sockets"),
+        (("settings", "rules", "fall_us"), "settings"),
+    ],
+)
+def test_an_infinite_number_in_the_configuration_is_named(
+    path: tuple[str, ...], field: str, tmp_path: Path
+) -> None:
+    configuration = json.loads(EXAMPLE.read_text())
+    document = configuration
+    for name in path[:-1]:
+        document = document[name]
+    document[path[-1]] = "INFINITE"
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration).replace('"INFINITE"', "1e999"))
+    done = subprocess.run(
+        [sys.executable, "-m", "onyxwick"],
+        env={**os.environ, "RELAY_CONFIG": str(file), "ONYXWICK_SERVICE": str(tmp_path / "none")},
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+    assert done.returncode == 2 and field in done.stderr and "Traceback" not in done.stderr
+
+
 def test_a_director_whose_feed_and_caches_are_not_there_yet_serves_pings(tmp_path: Path) -> None:
     def change(configuration: dict[str, Any]) -> None:
         configuration["coordinator"] = format_address(free_address())
