--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -344,7 +344,7 @@
             self._evict(connection, now_s, ConnectionCloseReason.MEMORY_NEEDED)
 
     def _releasable_memory(self, now_s: float) -> list[Releasable]:
-        offers = [each.memory.releasable(now_s) for each in self.connections]
+        offers = [each.releasable(now_s) for each in self.connections]
         return [each for each in offers if each is not None]
 
     async def _wait_for_evictions(self) -> None:
--- a/onyxwick/net/front_connection.py
+++ b/onyxwick/net/front_connection.py
@@ -17,6 +17,7 @@
 
 from onyxwick import logs
 from onyxwick.core import ClientRequest, FinalAnswer, RequestLifecycle
+from onyxwick.core.memory_account import Releasable
 from onyxwick.core.reasons import ConnectionCloseReason
 from onyxwick.core.shutdown import ShutdownSchedule, ShutdownStage
 from onyxwick.net import fastcgi
@@ -102,7 +103,7 @@
         self.close_reason: ConnectionCloseReason | None = None  # None: closed by the client
         self.arrived_us = 0  # steady clock; no later than the arrival of the calls being parsed
         self.opened_at_s = time.monotonic()
-        self.memory = ConnectionMemory(self, owner)
+        self.memory = ConnectionMemory(self.number, self.parser, self.writes, owner.memory)
         self.last_active_at_s = self.opened_at_s
         self.partial_call_since_s = self.opened_at_s
         self._answer_posted: asyncio.Future[None] | None = None
@@ -176,7 +177,7 @@
         except FastCgiFramingError as error:
             self.protocol_error(str(error))
             self._fail_open_calls()
-        self.memory.update()
+        self.memory.update(self.last_active_at_s)
 
     def _parse_available(self) -> None:
         """Parse the bytes received and handle the complete messages."""
@@ -332,7 +333,7 @@
                         self._handle_message(message)
             except FastCgiFramingError:
                 self.stops_parsing = True
-            self.memory.update()
+            self.memory.update(time.monotonic())
         return bool(data)
 
     def is_lingering(self, now_s: float) -> bool:
@@ -346,7 +347,6 @@
         discard_unread(self.sock)
         self.sock.close()
         self.writes.close()
-        self.parser.release()
         self.memory.close()
         self._log_close()
         if self.cell is not None and self.owner.reservation is not None:
@@ -384,6 +384,26 @@
             unwritten=self.writes.pending_bytes,
         )
 
+    # ---- memory ------------------------------------------------------------------------------------------
+
+    def releasable(self, now_s: float) -> Releasable | None:
+        """Return the memory that the connection would release; None if it is closing or holds little."""
+        if self.half_closed_at_s or self.close_reason is not None:
+            return None
+        return self.memory.releasable(self, now_s, self.last_active_at_s)
+
+    def release_memory(self, now_s: float) -> None:
+        """Reject all partial calls; close the connection if it has no open call or does not read answers."""
+        is_unread = self.memory.is_unread(now_s)
+        rejections = self.memory.reject_partial_calls(now_s, self.last_active_at_s)
+        if not is_unread and (self.open_calls or self.writes.pending_bytes):
+            self.writes.post(PendingWrite(rejections))
+            return
+        if not is_unread:
+            with contextlib.suppress(OSError):
+                self.sock.send(rejections)
+        self.owner.release(self, now_s)
+
     # ---- connection slot ---------------------------------------------------------------------------------
 
     def slot(self) -> ConnectionSlot:
