--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -17,8 +17,10 @@
 import pytest
 
 from onyxwick.lab.soak.hoarding import CacheHoard, ClientHoard, hoarding_input, hoarding_reply
+from onyxwick.net import resp
 from tests.limited_director import (
     BYTES_PER_MB,
+    SERVED_FIELDS,
     LimitedDirector,
     count_served,
     drain,
@@ -129,3 +131,50 @@
             sockets.enter_context(director.connect()).sendall(calls)
         count = count_served(director, CALLS, 0.2)
         _assert_within_limit(director, count)
+
+
+# Guards against: answers that nobody reads, held for each client up to a limit of its own.
+def test_clients_that_read_no_answer_keep_nobody_from_being_served(tmp_path: Path) -> None:
+    large_object = "00000000000000bb"
+    body = b"x" * 240_000
+
+    def reply(connection: socket.socket, words: list[bytes]) -> None:
+        if words[0] == b"REQ" and large_object.encode() in words[2]:
+            connection.sendall(resp.encode_command(words[1], b"data", SERVED_FIELDS, body))
+        else:
+            served(connection, words)
+
+    def call(number: int) -> bytes:
+        return encode_call(number, params={"HTTP_X_OBJECT": large_object})
+
+    with limited_director(tmp_path, reply=reply) as director, contextlib.ExitStack() as sockets:
+
+        def hoard() -> None:
+            sock = sockets.enter_context(socket.socket())
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(director.address)
+            sock.sendall(b"".join(map(call, range(1, 33))))
+
+        numbers = itertools.count()
+        with _repeating(lambda: hoard() if next(numbers) < HOARDERS else time.sleep(0.1)):
+            count = count_served(director, CALLS, 0.2)
+        _assert_within_limit(director, count)
+
+
+# Guards against: many small answers, whose objects take more than their bytes, unread on each connection.
+def test_clients_that_pipeline_and_read_nothing_keep_nobody_from_being_served(tmp_path: Path) -> None:
+    data = hoarding_input(ClientHoard.PINGS)
+    with limited_director(tmp_path) as director, contextlib.ExitStack() as sockets:
+        clients = [sockets.enter_context(director.connect()) for _ in range(60)]
+        for client in clients:
+            client.setblocking(False)
+
+        def hoard() -> None:
+            for client in clients:
+                with contextlib.suppress(OSError):
+                    client.send(data)
+            time.sleep(PAUSE_S)
+
+        with _repeating(hoard):
+            count = count_served(director, CALLS, 0.2)
+        _assert_within_limit(director, count)
