A line of the feed that is too large is skipped by its index, not brought again for ever

Cause: a line over the limit ended its connection, and the next one brought the same line: nothing behind it was ever read, and no limit of memory could be set without that. Found while the feed's bounds were written. Now the rest of such a line is discarded as it comes, and its event is skipped by the index in its first bytes, reported, and counted as feed.skipped; so is a line whose objects would take too much. Failed before: the new test (a line of 500 kB with a limit of 100 kB), and event 3 behind a skipped one was not applied (4 cases).

--- a/onyxwick/net/coordinator_feed.py
+++ b/onyxwick/net/coordinator_feed.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import time
 from collections.abc import Callable
@@ -70,6 +71,13 @@
 """This machine's clock may be behind the feed's clock by up to this much."""
 US_PER_S = 1e6
 UNKNOWN_ADDRESS: Address = ("", 0)
+_match_index = re.compile(rb'\s*\{\s*"index"\s*:\s*(\d{1,16})\b').match
+
+
+def _parsed_bytes(text: bytes) -> int:
+    """Return an upper estimate of the memory of the objects that a line of JSON is parsed to."""
+    containers = text.count(b"{") + text.count(b"[")
+    return len(text) + CONTAINER_BYTES * containers + VALUE_BYTES * text.count(b",")
 
 
 def _read_index(value: Any) -> int:
@@ -105,6 +113,7 @@
         self.held = core.memory.held[HeldKind.FEED]
         self.max_line_bytes = min(MAX_LINE_BYTES, int(core.memory.limit_bytes * LINE_SHARE))
         self.max_parsed_bytes = int(core.memory.limit_bytes * PARSED_SHARE)
+        self._is_line_dropped = False  # the line that is being received was too long; its rest is discarded
         self.line_started_s = 0.0
         self.line_limit = DoublingTimeout(LINE_LIMIT_S, MAX_LINE_LIMIT_DOUBLINGS)
         self.stamps = FeedTimestamps()
@@ -179,8 +188,12 @@
 
         Raises FeedConnectionError if events are missing or an event could not be applied.
         """
+        if (needed_bytes := _parsed_bytes(text)) > self.max_parsed_bytes:
+            self._skip_event(
+                text, f"line needs {needed_bytes} bytes, at most {self.max_parsed_bytes} are allowed"
+            )
+            return
         try:
-            self._check_size(text)
             document = ujson.loads(text)
             if isinstance(document, dict):
                 self._check_sequence(_read_index(document[INDEX]))
@@ -192,12 +205,17 @@
         except MALFORMED_EVENT_ERRORS as error:
             self.report_bad_input(f"{error!r} in {text[:QUOTED_LINE_BYTES]!r}")
 
-    def _check_size(self, text: bytes) -> None:
-        """Raise ValueError if the objects that a line is parsed to would take too much memory."""
-        containers = text.count(b"{") + text.count(b"[")
-        parsed_bytes = len(text) + CONTAINER_BYTES * containers + VALUE_BYTES * text.count(b",")
-        if parsed_bytes > self.max_parsed_bytes:
-            raise ValueError(f"line needs {parsed_bytes} bytes, at most {self.max_parsed_bytes} are allowed")
+    def _skip_event(self, head: bytes, reason: str) -> None:
+        """Report an event that is too large, and skip it by the index in its first bytes.
+
+        Otherwise it would be missed, requested again and skipped only on the fourth connection, or never.
+        """
+        self.report_bad_input(f"{reason}: {head[:QUOTED_LINE_BYTES]!r}")
+        self.counters.add("feed.skipped")
+        match = _match_index(head)
+        if match is not None and int(match[1]) == self.last_index + 1:
+            self.last_index += 1
+            self.core.feed.record_feed_index(self.last_index)
 
     def _check_sequence(self, index: int) -> None:
         """Raise FeedConnectionError if events are missing: a new connection requests them again.
@@ -255,6 +273,7 @@
         address = self.address
         self.announced_index = 0
         self.buffer = ReceiveBuffer()
+        self._is_line_dropped = False
         self.race = FeedRace(address, lambda: b"follow %d\n" % self.last_index)
         async with asyncio.timeout(None) as self._silence_limit:
             sock = await self.race.run()
@@ -288,10 +307,16 @@
         raise FeedConnectionError("the feed's address has changed")
 
     def _check_partial_line(self) -> None:
-        """Raise FeedConnectionError if a partial line is too long or takes too long to arrive."""
+        """Drop a partial line that is too long. Raise FeedConnectionError if it takes too long to arrive."""
         self.buffer.expected_bytes = self.max_line_bytes
         if len(self.buffer) > self.max_line_bytes:
-            raise FeedConnectionError(f"line exceeds {self.max_line_bytes} bytes")
+            if not self._is_line_dropped:
+                self._skip_event(
+                    self.buffer.peek(QUOTED_LINE_BYTES), f"line exceeds {self.max_line_bytes} bytes"
+                )
+            self._is_line_dropped = True
+            self.buffer.release()
+            return
         if not len(self.buffer):
             self.line_started_s = time.monotonic()
             return
@@ -323,7 +348,10 @@
         while (size := self.buffer.find(b"\n")) >= 0:
             if time.monotonic() > deadline_s:
                 return True
-            if line := self.buffer.take(size + 1).strip():
+            line = self.buffer.take(size + 1).strip()
+            if self._is_line_dropped:
+                self._is_line_dropped = False
+            elif line:
                 self.handle_line(line)
                 if self.on_line is not None:
                     self.on_line()
--- a/tests/test_feed_limits.py
+++ b/tests/test_feed_limits.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import socket
 from typing import Any
 
 import pytest
@@ -87,8 +89,30 @@
     parsed = list[int]()
     loads = ujson.loads
     monkeypatch.setattr(ujson, "loads", lambda text: (parsed.append(len(text)), loads(text))[1])
-    listed, bad = _listed_after(_event(1, [_row(1)], True), line)
-    assert listed == {"s-00000001"} and bad == 1 and len(line) not in parsed
+    listed, bad = _listed_after(_event(1, [_row(1)], True), line, _event(3, [_row(9)]))
+    assert listed == {"s-00000001", "s-00000009"} and bad == 1 and len(line) not in parsed
+
+
+# Guards against: a line over the limit that each connection brings again, and nothing behind it is read.
+def test_a_line_over_the_limit_is_discarded_as_it_comes_and_the_next_one_is_read() -> None:
+    async def scenario(harness: DirectorHarness) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            feed = harness.follow(server.getsockname())
+            feed.max_line_bytes = 100_000
+            conn = await harness.accept(server)
+            await harness.read_until(conn, b"follow 0\n")
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(conn, _event(1, [_row(1)], True) + b'\n{"index":2,"x":"')
+            for _ in range(10):
+                await loop.sock_sendall(conn, b"x" * 50_000)
+                await asyncio.sleep(0.01)
+                assert len(feed.buffer) <= 2 * feed.max_line_bytes
+            await loop.sock_sendall(conn, b'"}\n' + _event(3, [_row(9)]) + b"\n")
+            await harness.wait_until(lambda: "s-00000009" in harness.members.listed)
+            assert feed.last_index == 3 and harness.counters.counts["feed.skipped"] == 1
+
+    run_scenario(scenario)
 
 
 # Guards against: lists that grow from change to change until the process passes its limit.
