--- a/onyxwick/admin/http_messages.py
+++ b/onyxwick/admin/http_messages.py
@@ -13,6 +13,7 @@
 
 MAX_BODY_BYTES = 524_288
 MAX_HEAD_BYTES = 16_384
+MAX_PIPELINED_REQUESTS = 1024
 REASON_PHRASES = {
     200: "OK",
     201: "Created",
@@ -79,7 +80,9 @@
 class _ParserCallbacks:
     """Callbacks for httptools' parser, which collect complete requests."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int, max_requests: int) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.max_requests = max_requests
         self.request = HttpRequest()
         self.url = b""
         self.head_bytes = 0
@@ -105,14 +108,15 @@
     def on_body(self, body: bytes) -> None:
         """Append a fragment of the body. Raises HttpError 413 if the body is too large."""
         self.request.body += body
-        if len(self.request.body) > MAX_BODY_BYTES:
+        if len(self.request.body) > self.max_body_bytes:
             raise HttpError(413, "body too large")
 
     def on_message_complete(self) -> None:
         """Add the completed request to `complete` and start a new one."""
         self.request.path = self.url.partition(b"?")[0].decode("latin-1")
         self.request.keep_alive = self.should_keep_alive()
-        self.complete.append(self.request)
+        if len(self.complete) < self.max_requests:
+            self.complete.append(self.request)
         self.request = HttpRequest()
         self.url = b""
         self.head_bytes = 0
@@ -123,10 +127,12 @@
 
 
 class RequestParser:
-    """Parses the requests of one connection."""
+    """Parses the requests of one connection. Of those received at once only `max_requests` are kept."""
 
-    def __init__(self) -> None:
-        self._callbacks = _ParserCallbacks()
+    def __init__(
+        self, max_body_bytes: int = MAX_BODY_BYTES, max_requests: int = MAX_PIPELINED_REQUESTS
+    ) -> None:
+        self._callbacks = _ParserCallbacks(max_body_bytes, max_requests)
         self._parser = httptools.HttpRequestParser(self._callbacks)
         self._callbacks.should_keep_alive = self._parser.should_keep_alive
 
--- a/onyxwick/admin/http_server.py
+++ b/onyxwick/admin/http_server.py
@@ -14,6 +14,8 @@
 
 from onyxwick import logs
 from onyxwick.admin.http_messages import (
+    MAX_BODY_BYTES,
+    MAX_PIPELINED_REQUESTS,
     HttpError,
     HttpRequest,
     MalformedRequestError,
@@ -56,6 +58,7 @@
         one_call_per_connection: bool = False,
         name: str = "administration API",
         counter_prefix: str = "admin",
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -65,6 +68,7 @@
         self.one_call_per_connection = one_call_per_connection
         self.name = name
         self.counter_prefix = counter_prefix
+        self.max_body_bytes = max_body_bytes
         self.connections: dict[asyncio.Task[None], None] = {}
         """The tasks of open connections, oldest first."""
 
@@ -105,7 +109,8 @@
         """Serve one connection until it ends."""
         loop = asyncio.get_running_loop()
         buffer = ReceiveBuffer()
-        parser = RequestParser()
+        max_requests = 1 if self.one_call_per_connection else MAX_PIPELINED_REQUESTS
+        parser = RequestParser(self.max_body_bytes, max_requests)
         with connection, contextlib.suppress(OSError, TimeoutError):
             while True:
                 async with asyncio.timeout(self.call_timeout_s):
--- a/onyxwick/operations/server.py
+++ b/onyxwick/operations/server.py
@@ -40,6 +40,8 @@
 log = logs.get()
 MAX_CONNECTIONS = 32
 """Maximum number of open connections; a new one displaces the one that has been open longest."""
+MAX_CALL_BODY_BYTES = 1024
+"""No call has a body; one of this size is discarded, a longer one rejected."""
 CALL_TIMEOUT_S = 1.0
 """A caller waits 1 s for its answer, so a connection that has not sent its call by then is not useful."""
 FILE_CHECK_INTERVAL_S = 0.1
@@ -110,6 +112,7 @@
             one_call_per_connection=True,
             name="operations endpoint",
             counter_prefix="door",
+            max_body_bytes=MAX_CALL_BODY_BYTES,
         )
         self.thread = threading.Thread(target=self._run, name="operations", daemon=True)
         self.loop: asyncio.AbstractEventLoop | None = None
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 import time
+from pathlib import Path
 
-from onyxwick.admin.http_messages import HttpRequest
+import pytest
+
+from onyxwick.admin.http_messages import HttpError, HttpRequest, RequestParser
 from onyxwick.admin.http_server import HttpServer
+from onyxwick.config.address import format_address
 from onyxwick.counters import Counters
+from tests.limited_director import BYTES_PER_MB, count_served, free_address, limited_director
 
 ADDRESS = ("127.77.9.1", 18090)
 
@@ -101,3 +107,31 @@
         return time.monotonic() - started_at_s
 
     assert asyncio.run(scenario()) < 0.5
+
+
+# Guards against: bodies that callers of the operations endpoint send, though no call has one.
+def test_a_body_over_the_limit_is_rejected_as_it_grows_and_further_calls_are_not_kept() -> None:
+    parser = RequestParser(max_body_bytes=1024, max_requests=1)
+    parser.feed(b"POST /drain HTTP/1.1\r\nContent-Length: 500000\r\n\r\n" + bytes(1024))
+    with pytest.raises(HttpError) as rejected:
+        parser.feed(b"x")
+    assert rejected.value.status == 413
+    pipelined = RequestParser(max_requests=1)
+    pipelined.feed(b"GET /ready HTTP/1.1\r\n\r\n" * 100)
+    assert len(pipelined.complete) == 1
+
+
+# Guards against: operators' callers that fill the memory of a director.
+def test_callers_that_send_bodies_and_do_not_end_them_are_bounded(tmp_path: Path) -> None:
+    address = free_address()
+    environment = {"RELAY_ADMIN": format_address(address)}
+    head = b"POST /drain HTTP/1.1\r\nHost: operations\r\nContent-Length: 500000\r\n\r\n"
+    with limited_director(tmp_path, environment=environment) as director, contextlib.ExitStack() as stack:
+        for _ in range(3):
+            for _ in range(32):
+                caller = stack.enter_context(socket.create_connection(address, 1.0))
+                with contextlib.suppress(OSError):
+                    caller.sendall(head + bytes(499_000))
+            time.sleep(0.3)
+        assert count_served(director, 5) == 5
+        assert director.peak_over_idle_bytes() < director.memory_mb * BYTES_PER_MB / 2
