--- a/onyxwick/cli/faults.py
+++ b/onyxwick/cli/faults.py
@@ -222,6 +222,12 @@
 @click.option(
     "--program", type=click.Path(path_type=Path), help="Source tree of another revision, to run instead."
 )
+@click.option(
+    "--slot",
+    type=click.IntRange(0, 40),
+    default=0,
+    help="Number of the loopback network; soaks beside each other need different ones.",
+)
 def soak(
     first: int,
     seeds: int,
@@ -231,6 +237,7 @@
     keep: Path | None,
     shrink: int,
     program: Path | None,
+    slot: int,
 ) -> None:
     """Run real directors under overlapping faults of calls, clocks, signals, feeds, caches and clients.
 
@@ -241,7 +248,8 @@
 
     kept = tuple(int(number) for number in only.split(",")) if only else None
     try:
-        reports = play_all(range(first, first + seeds), directors, minutes * 60, kept, keep, shrink, program)
+        run = range(first, first + seeds)
+        reports = play_all(run, directors, minutes * 60, kept, keep, shrink, program, slot)
         codes = set()
         for report in reports:
             click.echo(json.dumps(report.data()))
--- a/onyxwick/lab/machines.py
+++ b/onyxwick/lab/machines.py
@@ -294,12 +294,18 @@
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.clients: set[asyncio.Task[None]] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
 
     def tell(self, line: bytes) -> None:
         self.events.append(line)
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def interject(self, line: bytes) -> None:
+        """Send a line that is no event on each open connection."""
+        for writer in self.writers:
+            writer.write(line)
+
     async def listen(self) -> None:
         self.server = await asyncio.start_server(self._client, *self.address)
 
@@ -316,10 +322,12 @@
         assert task is not None
         self.clients.add(task)
         self.connects.append(self.clock())
+        self.writers.add(writer)
         try:
             await self._feed(reader, writer)
         finally:
             self.clients.discard(task)
+            self.writers.discard(writer)
             writer.transport.abort()
 
     async def _feed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -11,6 +11,7 @@
 from onyxwick.lab.feed import row_of
 from onyxwick.lab.soak.clients import OBJECTS
 from onyxwick.lab.soak.ground import FaultState, SoakEnvironment
+from onyxwick.lab.soak.hoard_acts import HoardActions
 from onyxwick.lab.soak.model import DirectorOutage
 from onyxwick.lab.soak.operator_acts import OperatorActions
 from onyxwick.lab.soak.persistent import Habit
@@ -45,6 +46,7 @@
         self.soak = soak
         self.state = FaultState(soak.servers)
         self.operators = OperatorActions(soak, self.state)
+        self.hoards = HoardActions(soak, self.state)
         self.injectors = {
             SoakFaultKind.CLOCK: self._clock,
             SoakFaultKind.ACCEPT: self._accept,
@@ -70,6 +72,9 @@
             SoakFaultKind.CACHE_HANG: self._cache_hang,
             SoakFaultKind.CACHE_FORGET: self._cache_forget,
             SoakFaultKind.PURGE: self._purge,
+            SoakFaultKind.CLIENTS_HOARD: self.hoards.clients,
+            SoakFaultKind.CACHE_HOARD: self.hoards.cache,
+            SoakFaultKind.FEED_HOARD: self.hoards.feed,
         }
 
     async def play(self, fault: SoakFault) -> None:
@@ -166,6 +171,9 @@
 
     async def _kill(self, fault: SoakFault, director: SoakDirector) -> None:
         async with director.lifecycle_lock:
+            process = director.process
+            if process is not None and not process.is_running:
+                self.soak.records.ended.append(f"{process.name} had ended before its SIGKILL")
             await self._kill_and_restart(director)
 
     async def _kill_and_restart(self, director: SoakDirector) -> None:
--- a/onyxwick/lab/soak/clients.py
+++ b/onyxwick/lab/soak/clients.py
@@ -10,7 +10,15 @@
 
 from onyxwick.config.address import Address
 from onyxwick.lab.clients import Connection, read_reply
-from onyxwick.lab.soak.model import BOOKING, JOB_SHEET, SITE_VIDEO, ClientConnection, SoakCall, SoakRecords
+from onyxwick.lab.soak.model import (
+    BOOKING,
+    JOB_SHEET,
+    SITE_VIDEO,
+    ClientConnection,
+    CutCall,
+    SoakCall,
+    SoakRecords,
+)
 from onyxwick.net import fastcgi
 
 S = 1_000_000
@@ -177,7 +185,7 @@
         for begin, end in itertools.pairwise(ends[1:]):
             await asyncio.sleep(self.random.uniform(*PIECE_PAUSE_S))
             if connection.closed:
-                self.records.cut.append((director, self.clock()))
+                self.records.cut.append(CutCall(director, self.clock(), not connection.asked))
                 connection.waiting.pop(number, None)
                 connection.half = False
                 return number, None
--- a/onyxwick/lab/soak/model.py
+++ b/onyxwick/lab/soak/model.py
@@ -116,6 +116,24 @@
     until_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class CutCall:
+    """A director closed a connection in the middle of a call. `fresh`: the first call on its connection."""
+
+    director: int
+    at_us: int
+    fresh: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessMemory:
+    """The largest anonymous memory of one process, and what it was told that it may use, in bytes."""
+
+    process: str
+    peak_bytes: int
+    told_bytes: int
+
+
 @dataclass(slots=True)
 class SoakRecords:
     """All records of one run."""
@@ -135,11 +153,11 @@
     terminations: list[SoakTermination] = field(default_factory=list)
     lab_errors: list[str] = field(default_factory=list)  # exceptions of the lab's own tasks
     stopped: list[DirectorOutage] = field(default_factory=list)  # by SIGSTOP
-    # Director and time: it closed a connection in the middle of a call.
-    cut: list[tuple[int, int]] = field(default_factory=list)
+    cut: list[CutCall] = field(default_factory=list)
     unaccepted: list[DirectorOutage] = field(default_factory=list)  # the director could accept no connection
     late: list[tuple[int, int]] = field(default_factory=list)  # time and delay of the lab's own late timers
     counters: dict[str, int] = field(default_factory=dict)  # sums over all directors, as printed by them
     logged: list[str] = field(default_factory=list)  # violations and errors in the directors' logs
     ended: list[str] = field(default_factory=list)  # messages: a wrong exit, not ready in time, and the like
+    memory: list[ProcessMemory] = field(default_factory=list)
     met: dict[str, int] = field(default_factory=dict)  # system call faults that directors met, by name
--- a/onyxwick/lab/soak/oracle.py
+++ b/onyxwick/lab/soak/oracle.py
@@ -76,6 +76,7 @@
             self._check_held_connections,
             self._check_kills,
             self._check_directors,
+            self._check_memory,
             self._check_lab,
         )
         return [finding for check in checks for finding in check()]
@@ -268,6 +269,12 @@
         for text in self.records.lab_errors:
             yield Finding("lab", text)
 
+    def _check_memory(self) -> Iterator[Finding]:
+        """Find processes that held more memory than they were told."""
+        for each in self.records.memory:
+            if each.peak_bytes > each.told_bytes:
+                yield Finding("memory", f"{each.process} held {each.peak_bytes} of {each.told_bytes} bytes")
+
     def _check_directors(self) -> Iterator[Finding]:
         logged = [text for text in self.records.logged if not self._excused_by_stop(text)]
         excused = len(self.records.logged) - len(logged)
--- a/onyxwick/lab/soak/plan.py
+++ b/onyxwick/lab/soak/plan.py
@@ -46,6 +46,9 @@
     CACHE_HANG = "cache_hang"
     CACHE_FORGET = "cache_forget"  # connections to a cache are closed, reset or silently no longer read
     PURGE = "purge"
+    CLIENTS_HOARD = "clients_hoard"  # clients begin requests and do not finish them
+    CACHE_HOARD = "cache_hoard"  # a cache begins replies and does not finish them
+    FEED_HOARD = "feed_hoard"  # the feed tells long lines, and numbers that are out of range
 
 
 SHARED_KINDS = frozenset(
@@ -55,6 +58,7 @@
         SoakFaultKind.CACHE_HANG,
         SoakFaultKind.CACHE_FORGET,
         SoakFaultKind.PURGE,
+        SoakFaultKind.CACHE_HOARD,
     }
 )
 ENDS_PROCESS = frozenset(
@@ -78,6 +82,8 @@
     SoakFaultKind.CACHE_DRAIN: (1.0, 4.0),
     SoakFaultKind.CACHE_RESTART: (0.5, 1.5),
     SoakFaultKind.CACHE_HANG: (0.5, 2.0),
+    SoakFaultKind.CLIENTS_HOARD: (1.0, 3.0),
+    SoakFaultKind.CACHE_HOARD: (0.5, 2.0),
 }
 INSTANT_LENGTH_S = (0.1, 0.1)  # length of the kinds that happen in an instant
 STEPS_S = (-3600, -30, -3, 3, 30, 3600)  # steps of the wall clock
--- a/onyxwick/lab/soak/process.py
+++ b/onyxwick/lab/soak/process.py
@@ -17,7 +17,8 @@
 from onyxwick.lab.faults.relay import LinkRelay
 from onyxwick.lab.feed import Feed
 from onyxwick.lab.machines import CoordinatorEmulator
-from onyxwick.lab.soak.model import SoakRecords, SoakTermination
+from onyxwick.lab.process_memory import MemoryRecorder
+from onyxwick.lab.soak.model import ProcessMemory, SoakRecords, SoakTermination
 from onyxwick.lab.soak.shim import Control
 from onyxwick.net import fastcgi
 from onyxwick.net.listening import ACCEPT_BACKLOG
@@ -25,6 +26,8 @@
 READY_TIMEOUT_S, EXIT_TIMEOUT_S, PING_TIMEOUT_S = 10.0, 10.0, 1.0
 REPORTED_MARKS = ('"event":"invariant violated"', "Traceback", '"level":"critical"', "error in ")
 MAX_REPORTED_LINES = 200
+MEMORY_INTERVAL_S = 0.1
+BYTES_PER_MB = 1_000_000
 
 
 class Process:
@@ -35,6 +38,8 @@
         self.log = folder / f"{name}.log"
         self.child: asyncio.subprocess.Process | None = None
         self.reading: list[asyncio.Task[None]] = []
+        self.memory: MemoryRecorder | None = None
+        self.told_bytes = 0  # the memory that the process may use
 
     async def start(self, environment: dict[str, str], pass_fd: int | None) -> None:
         """Start the process with this environment and, if given, a listening socket's descriptor."""
@@ -49,6 +54,7 @@
             pass_fds=() if pass_fd is None else (pass_fd,),
         )
         assert self.child.stdout is not None and self.child.stderr is not None
+        self.memory = MemoryRecorder(self.child.pid, MEMORY_INTERVAL_S)
         loop = asyncio.get_running_loop()
         self.reading = [
             loop.create_task(self._read_log(self.child.stderr)),
@@ -91,8 +97,15 @@
         except TimeoutError:
             return None
         await asyncio.gather(*self.reading)
+        self._record_memory()
         return self.child.returncode
 
+    def _record_memory(self) -> None:
+        if self.memory is not None:
+            peak_bytes = self.memory.stop()
+            self.records.memory.append(ProcessMemory(self.name, peak_bytes, self.told_bytes))
+            self.memory = None
+
 
 class SoakDirector:
     """A director under one name. `held`: the lab owns the listening socket, which successors take over."""
@@ -115,6 +128,7 @@
         self.control: Control
         self.process: Process | None = None
         self.starts = 0
+        self.memory_mb = 0  # as told in the configuration
         self.takes_connections = False  # clients may open new ones; open ones are used until they end
         # While each transfer moves a single byte, more than the ordinary clients would overload the director.
         self.transfers_single_bytes = False
@@ -140,6 +154,7 @@
 
     def write(self, configuration: dict[str, Any]) -> None:
         """Write the configuration file atomically."""
+        self.memory_mb = configuration["limits"]["memory_mb"]
         draft = self.folder / "config.draft"
         draft.write_text(json.dumps(configuration))
         os.replace(draft, self.config)
@@ -156,6 +171,7 @@
         if fd is not None:
             environment["RELAY_LISTEN_FD"] = str(fd)
         process = Process(f"{self.name}.{self.starts}", self.folder.parent, self.records, self.tree)
+        process.told_bytes = self.memory_mb * BYTES_PER_MB
         await process.start(environment, fd)
         begun = asyncio.get_running_loop().time()
         while not await self._ready(process):
--- a/onyxwick/lab/soak/report.py
+++ b/onyxwick/lab/soak/report.py
@@ -33,6 +33,8 @@
     habits: tuple[Habit, ...] | None = None  # habits of each director's persistent clients; None: drawn
     deadline_share: float | None = None  # share of the usual deadlines; None: chosen by the seed
     answer_bytes: int = 2000  # answer size of the class with the largest answers
+    memory_mb: int = 80  # limits that are told to each director, as tight as on the platform's short days
+    sockets: int = 512
     held: bool | None = None  # the lab owns the listening sockets; None: those of every third director
 
     @property
@@ -75,6 +77,8 @@
     met: dict[str, int]
     pairs: Counter[tuple[str, str]]
     findings: list[Finding]
+    peak_bytes: int
+    """The largest anonymous memory of any process."""
     lab_late_ms: float
     judged: bool
     kept: Path | None = None
@@ -92,6 +96,8 @@
             "calls_failed_by_shim": self.met,
             "pairs_played": len(self.pairs),
             "pairs_missing": len(missing_pairs(self.pairs)),
+            "peak_mb": round(self.peak_bytes / 1e6, 1),
+            "memory_mb": self.plan.memory_mb,
             "lab_late_ms": round(self.lab_late_ms, 1),
             "judged": self.judged,
             "broken": dict(Counter(finding.rule for finding in self.findings)),
--- a/onyxwick/lab/soak/run.py
+++ b/onyxwick/lab/soak/run.py
@@ -22,6 +22,7 @@
 from onyxwick.lab.platform import PlatformLayout, configuration, settings
 from onyxwick.lab.soak.acts import SoakActions
 from onyxwick.lab.soak.clients import SoakClients
+from onyxwick.lab.soak.hoard_acts import prepare
 from onyxwick.lab.soak.model import SITE_VIDEO, SoakRecords
 from onyxwick.lab.soak.oracle import Oracle
 from onyxwick.lab.soak.persistent import Habit, PersistentClient
@@ -113,6 +114,7 @@
         for kind, tier in TIERS.items():
             for n in range(tier.count):
                 await self._add_server(f"{kind}-{n}" if kind != "origin" else "origin", kind, n)
+        prepare()
         for number in range(self.plan.directors):
             await self._add_director(number)
         await asyncio.gather(*(self.start(director) for director in self.directors))
@@ -157,6 +159,8 @@
             director.feeds[director.feed_index],
             director.feed.known(),
             {**settings(self.scenario, place), "self_index": director.number},
+            self.plan.sockets,
+            self.plan.memory_mb,
         )
         return {**made, "coordinator": format_address(director.feeds[director.feed_index])}
 
@@ -262,7 +266,8 @@
             return
         if process.is_running:
             await director.term(process)
-        elif process.child is not None and process.child.returncode:
+        elif process.child is not None:
+            await process.wait(1.0)
             self.records.ended.append(
                 f"{process.name} had ended before the shutdown with exit code {process.child.returncode}"
             )
@@ -288,6 +293,7 @@
             records.met,
             overlapping_pairs(faults),
             findings,
+            max((each.peak_bytes for each in records.memory), default=0),
             worst / 1000,
             worst < MAX_LAB_DELAY_US,
         )
--- a/onyxwick/lab/soak/servers.py
+++ b/onyxwick/lab/soak/servers.py
@@ -11,6 +11,7 @@
 from onyxwick.lab.link import EmulatedLink
 from onyxwick.lab.machines import Machine, World, reset
 from onyxwick.lab.model import Tier
+from onyxwick.lab.soak.hoarding import CacheHoard, hoarding_reply
 from onyxwick.lab.soak.model import Sent, ServerWork, SoakRecords
 from onyxwick.net import resp
 from onyxwick.net.socket_state import seconds_since_received
@@ -49,6 +50,7 @@
         self.arrived: dict[str, int] = {}
         self.answering = asyncio.Event()
         self.answering.set()
+        self.hoarding: CacheHoard | None = None  # replies begin like this and do not end
 
     def hang(self, hung: bool) -> None:
         """Stop answering with connections left open, or answer again."""
@@ -82,6 +84,9 @@
     def _command(
         self, words: list[bytes], writer: asyncio.StreamWriter, tasks: dict[bytes, asyncio.Task[None]]
     ) -> None:
+        if words[0] == b"REQ" and self.hoarding is not None:
+            writer.write(hoarding_reply(self.hoarding, words[1]))
+            return
         if words[0] not in (b"STOP", b"HELO", b"STAT"):
             self.arrived[words[1].decode()] = self.began[writer]
         super()._command(words, writer, tasks)
