--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -14,9 +14,11 @@
     MemoryAccount,
     Releasable,
 )
+from onyxwick.core.request_table import REQUEST_BYTES
 from onyxwick.lab.soak.hoarding import ClientHoard, encode_begin, hoarding_input
 from onyxwick.net import fastcgi
 from onyxwick.net.fastcgi_parser import FastCgiParser
+from tests.director_harness import DirectorHarness, forward_arrivals_to, run_scenario
 
 LIMIT_BYTES = 1_000_000
 NOW_S = 100.0
@@ -116,3 +118,34 @@
     )
     (message,) = _parse(parser, record[cut:] + call)
     assert isinstance(message, fastcgi.FastCgiCall) and message.request_number == 2
+
+
+def test_open_requests_and_their_bodies_are_accounted() -> None:
+    async def scenario(harness: DirectorHarness) -> None:
+        held = harness.core.memory.by_kind
+        first = harness.start(body=bytes(48_000))
+        harness.start()
+        assert held()["requests"] == 2 * REQUEST_BYTES + 48_000
+        harness.core.client_departed(first)
+        await harness.wait_until(lambda: len(harness.core.lifecycles) == 1)
+        assert held()["requests"] == REQUEST_BYTES
+
+    run_scenario(scenario)
+
+
+def test_a_command_that_waits_for_its_connection_is_accounted_until_it_is_over() -> None:
+    async def scenario(harness: DirectorHarness) -> None:
+        cache = harness.add_cache("c0")
+        forward_arrivals_to(harness, "c0")
+        lifecycle = harness.start(body=bytes(20_000))
+        commands = harness.caches.memory.held[HeldKind.CACHE_OUTPUT]
+        await harness.wait_until(lambda: commands.held_bytes > 20_000)
+        conn = await harness.accept(cache)
+        await harness.read_until(conn, b"$20000\r\n")
+        harness.core.client_departed(lifecycle)
+        await harness.wait_until(lambda: not harness.core.lifecycles)
+        await harness.caches.close()
+        assert commands.held_bytes == 0
+        assert harness.caches.memory.held[HeldKind.CACHE_INPUT].held_bytes == 0
+
+    run_scenario(scenario)
