--- a/onyxwick/config/director.py
+++ b/onyxwick/config/director.py
@@ -136,8 +136,7 @@
 def _limit(data: Mapping[str, Any], name: str, lowest: int, default: int) -> int:
     limits = data.get("limits") or {}
     value = limits.get(name, default) if isinstance(limits, dict) else None
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not lowest <= value < math.inf:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not lowest <= value < math.inf:
         raise ConfigError(f"field 'limits.{name}' is not a number >= {lowest}", field=f"limits.{name}")
     return int(value)
 
--- a/tests/test_feed_limits.py
+++ b/tests/test_feed_limits.py
@@ -88,7 +88,12 @@
     line = b'{"index":2,"x":[' + b",".join([value.encode()] * 1_000_000) + b"]}"
     parsed = list[int]()
     loads = ujson.loads
-    monkeypatch.setattr(ujson, "loads", lambda text: (parsed.append(len(text)), loads(text))[1])
+
+    def recorded_loads(text: bytes) -> Any:
+        parsed.append(len(text))
+        return loads(text)
+
+    monkeypatch.setattr(ujson, "loads", recorded_loads)
     listed, bad = _listed_after(_event(1, [_row(1)], True), line, _event(3, [_row(9)]))
     assert listed == {"s-00000001", "s-00000009"} and bad == 1 and len(line) not in parsed
 
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -126,7 +126,12 @@
 
 
 def _line(rng: random.Random, index: int) -> bytes:
-    row = {"id": f"s-{rng.randrange(500):08x}", "addr": "127.9.0.1:5050", "zone": "edge-9", "kind": "box"}
+    row: dict[str, Any] = {
+        "id": f"s-{rng.randrange(500):08x}",
+        "addr": "127.9.0.1:5050",
+        "zone": "edge-9",
+        "kind": "box",
+    }
     row |= {"cell": 0, "state": rng.choice(("SERVING", "DRAINING", "DELETED")), "weight": 4, "started_ms": 0}
     purge = {"ref": f"{rng.randrange(99):016x}", "unix_ms": 1764576000123}
     event: dict[str, Any] = {"endpoints": {"version": index, "servers": [row] * rng.choice((1, 50))}}
