--- a/onyxwick/net/front_connection.py
+++ b/onyxwick/net/front_connection.py
@@ -15,7 +15,6 @@
 from functools import partial
 from typing import Protocol
 
-from onyxwick import logs
 from onyxwick.core import ClientRequest, FinalAnswer, RequestLifecycle
 from onyxwick.core.memory_account import Releasable
 from onyxwick.core.reasons import ConnectionCloseReason
@@ -23,6 +22,7 @@
 from onyxwick.net import fastcgi
 from onyxwick.net.arrival_clock import ArrivalClock
 from onyxwick.net.call_intake import CallIntake, IntakePolicy
+from onyxwick.net.close_report import report_close, report_truncated_answer
 from onyxwick.net.connection_memory import ConnectionMemory
 from onyxwick.net.connection_slots import ConnectionSlot, exceeds_deadline
 from onyxwick.net.delivery import DeliveryTracker
@@ -30,11 +30,10 @@
 from onyxwick.net.fastcgi_calls import encode_answer
 from onyxwick.net.fastcgi_parser import FastCgiParser
 from onyxwick.net.lingering import PEER_CHECK_INTERVAL_S, discard_unread, linger, wait_unless_closed
-from onyxwick.net.socket_state import PEER_GONE_EVENTS, is_closed_by_peer, unread_bytes
+from onyxwick.net.socket_state import PEER_GONE_EVENTS, unread_bytes
 from onyxwick.net.task_race import run_until_one_ends
 from onyxwick.net.write_queue import PendingWrite, WriteQueue
 
-log = logs.get()
 MAX_PROTOCOL_ERRORS = 16
 """After this many protocol errors a connection is closed."""
 PROTOCOL_ERROR_PAUSE_S = 0.02
@@ -47,15 +46,7 @@
 """Reading from a connection pauses while it has more unwritten bytes than this."""
 RECEIVE_BYTES = 65_536
 """The maximum size of one read while the connection is being closed."""
-MAX_LOGGED_REQUESTS = 8
 US_PER_S = 1e6
-CLOSED_BY_CLIENT_REASONS = (
-    ConnectionCloseReason.CLOSED_BY_PEER,
-    ConnectionCloseReason.CONNECTION_ERROR,
-    ConnectionCloseReason.WRITE_STALLED,
-    ConnectionCloseReason.MEMORY_NEEDED,
-)
-"""Closes that the client caused: it left, or read nothing while its answers were held for it."""
 
 
 class ConnectionOwner(IntakePolicy, Protocol):
@@ -343,47 +334,21 @@
 
     def _close(self) -> None:
         self.is_closing = True  # its socket is no longer checked, nor the connection evicted
-        self._report_truncated_answer()
+        is_last_stage = self.owner.stage_at(time.monotonic()) is ShutdownStage.CLOSE_ALL
+        report_truncated_answer(self, self.owner.core, self.owner.counters, is_last_stage)
         discard_unread(self.sock)
         self.sock.close()
         self.writes.close()
         self.memory.close()
-        self._log_close()
+        report_close(self, self.owner.core, self.owner.counters)
         if self.cell is not None and self.owner.reservation is not None:
             self.owner.reservation.disconnect(self.cell)
         self._abandon_open_calls()
 
-    def _report_truncated_answer(self) -> None:
-        """Report an answer that this close truncates, if this process closes the connection by itself."""
-        now_s = time.monotonic()
-        undelivered = self.writes.pending_bytes + self.delivery.in_flight_bytes(now_s)
-        is_own_close = self.close_reason is not None and self.close_reason not in CLOSED_BY_CLIENT_REASONS
-        if not undelivered or not is_own_close or is_closed_by_peer(self.sock):
-            return
-        self.owner.counters.add("client.cut")
-        if self.owner.stage_at(now_s) is not ShutdownStage.CLOSE_ALL:
-            self.owner.core.invariants.answer_truncated(self.number, undelivered)
-
     def open_request_ids(self) -> list[str]:
         """Return the ids of the requests that are not answered yet."""
         return [each.request.request_id for each in self.open_calls.values() if each is not None]
 
-    def _log_close(self) -> None:
-        reason = self.close_reason or ConnectionCloseReason.CLOSED_BY_PEER
-        self.owner.counters.add(f"ended.client.{reason.value}")
-        owed = self.open_request_ids()
-        is_by_client = reason in CLOSED_BY_CLIENT_REASONS
-        self.owner.core.invariants.connection_closed(self.number, len(owed), is_by_client)
-        log.info(
-            "connection closed",
-            connection=self.number,
-            reason=reason.value,
-            calls=self.complete_calls,
-            open_s=round(time.monotonic() - self.opened_at_s, 3),
-            owed=owed[:MAX_LOGGED_REQUESTS],
-            unwritten=self.writes.pending_bytes,
-        )
-
     # ---- memory ------------------------------------------------------------------------------------------
 
     def releasable(self, now_s: float) -> Releasable | None:
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -24,6 +24,7 @@
     "onyxwick.core",
     "onyxwick.core.clock",
     "onyxwick.core.memory_account",
+    "onyxwick.net.close_report",
     "onyxwick.net.connection_memory",
     "onyxwick.net.memory_monitor",
     "onyxwick.net.task_race",
