Log a connection that is refused for want of a slot; the soak excuses it beside a crowd

Trace: n5 was stopped (SIGSTOP, 1.41 s) while 250 silent clients came; the four stood on three connections that were opened during the stop behind them, and all three were closed within a millisecond at the wake, no byte read, no call forwarded. All slots were taken, and the silent ones are protected for 0.25 s from their accept. What the log did not tell was the refusal itself: 'connection refused, no slot is free' now does. The soak now excuses a call only if a crowd is or was just at its director, no call was answered on its connection, and no server saw it; each of the three has its planted counter-case.

--- a/onyxwick/lab/soak/acts.py
+++ b/onyxwick/lab/soak/acts.py
@@ -36,6 +36,7 @@
 ACCEPT_RETRY_US = 60_000  # a director retries accepting this long after an error
 RESTART_DELAY_S = 0.2
 MAX_PURGE_DELAY_S = 5.0
+CROWD_GRACE_US = 1_000_000  # the director sees the last of a crowd leave this late
 CROWD_CLIENTS = 250  # clients that one CROWD_CLIENTS fault connects
 
 
@@ -248,6 +249,7 @@
     async def _crowd(self, fault: SoakFault, director: SoakDirector) -> None:
         """Have many clients connect and send nothing. They reconnect once they are disconnected, while the
         director takes connections."""
+        begun = self.soak.clock()
         members = [self.soak.persistent(director, Habit.SILENT) for _ in range(CROWD_CLIENTS)]
         tasks = [asyncio.get_running_loop().create_task(member.run()) for member in members]
         try:
@@ -255,6 +257,8 @@
         finally:
             for task in tasks:
                 task.cancel()
+            ended = self.soak.clock() + CROWD_GRACE_US
+            self.soak.records.crowded.append(DirectorOutage(director.number, begun, ended))
             for error in await asyncio.gather(*tasks, return_exceptions=True):
                 if isinstance(error, Exception):
                     self.soak.records.lab_errors.append(repr(error))
--- a/onyxwick/lab/soak/model.py
+++ b/onyxwick/lab/soak/model.py
@@ -155,6 +155,7 @@
     stopped: list[DirectorOutage] = field(default_factory=list)  # by SIGSTOP
     cut: list[CutCall] = field(default_factory=list)
     unaccepted: list[DirectorOutage] = field(default_factory=list)  # the director could accept no connection
+    crowded: list[DirectorOutage] = field(default_factory=list)  # a crowd may have taken all descriptors
     late: list[tuple[int, int]] = field(default_factory=list)  # time and delay of the lab's own late timers
     counters: dict[str, int] = field(default_factory=dict)  # sums over all directors, as printed by them
     logged: list[str] = field(default_factory=list)  # violations and errors in the directors' logs
--- a/onyxwick/lab/soak/oracle.py
+++ b/onyxwick/lab/soak/oracle.py
@@ -111,7 +111,7 @@
                 continue
             due = call.sent_us + call.timeout_us
             if not call.answers:
-                if not self._crossed(call):
+                if not self._crossed(call) and not self._shut_unread(call):
                     yield Finding("lost", _describe(call))
             elif call.ended_us > due + LATE_ANSWER_LIMIT_US + self._excused_us(call):
                 yield Finding("late answer", f"{_describe(call)} {(call.ended_us - due) // 1000} ms over")
@@ -121,6 +121,18 @@
         window = CROSSING_WINDOW_US + self.late.around(call.sent_us)
         return 0 < call.ended_us <= call.sent_us + window and call.id not in self.forwarded
 
+    def _shut_unread(self, call: SoakCall) -> bool:
+        """Return whether a call stood on a new connection that was shut unread beside a crowd.
+
+        A crowd takes all descriptors of its director. A connection on which a call was answered is not new.
+        """
+        if call.id in self.forwarded or not call.ended_us:
+            return False
+        if not self._within(self.records.crowded, call.director, call.ended_us, call.ended_us):
+            return False
+        connections = [each for each in self.records.connections if call in each.calls]
+        return any(not any(other.answers for other in each.calls) for each in connections)
+
     def _excused_us(self, call: SoakCall) -> int:
         """Return by how many microseconds an answer may exceed its limit.
 
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -278,6 +278,7 @@
         """Serve an accepted socket, or close it if no slot is free and no connection can be evicted."""
         if len(self.connections) - len(self.half_closed) >= self.max_clients and not self._evict_one():
             self.counters.add("client.refused")
+            log.warning("connection refused, no slot is free", clients=len(self.connections))
             sock.close()
             return
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -296,6 +296,34 @@
     assert not _rules(records)
 
 
+@pytest.mark.parametrize(
+    ("from_us", "director", "answered_before", "forwarded", "found"),
+    [
+        (NOW, 0, False, False, 0),
+        (NOW, 0, True, False, 1),
+        (NOW, 0, False, True, 1),
+        (NOW, 1, False, False, 1),
+        (NOW + 2 * S, 0, False, False, 1),
+    ],
+)
+def test_a_call_on_a_new_connection_shut_unread_beside_a_crowd_is_not_lost(
+    from_us: int, director: int, answered_before: bool, forwarded: bool, found: int
+) -> None:
+    records = _sound()
+    _lost(records)
+    call = records.calls["r1"]
+    call.ended_us = NOW + S
+    connection = ClientConnection(0, "ordinary", NOW - S, NOW + S, [call])
+    if answered_before:
+        earlier = replace(call, id="r0", answers=1, verdict="refused", sent_us=NOW - S, ended_us=NOW - S // 2)
+        connection.calls.insert(0, earlier)
+    records.connections.append(connection)
+    records.crowded.append(DirectorOutage(director, from_us, from_us + 3 * S))
+    if not forwarded:
+        records.sent.clear()
+    assert len(_rules(records)) == found
+
+
 def test_a_killed_director_owes_no_answer_and_a_stopped_one_gets_the_stop_as_extra_time() -> None:
     records = _sound()
     _lost(records)
