The operations endpoint listens before clients are served, where its address is free

Cause: the start that waits for a held address had moved the first try behind the begin of service, so a caller right after 'serving' was refused (tests/test_operator_commands.py, two cases, and an exchange; a run of all tests showed it). The first try is made at once again; only a held address is waited for in the background.

--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -232,7 +232,8 @@
         gc.collect()  # otherwise gc.freeze() would also keep the garbage left by imports
         gc.freeze()  # later collections need not examine the objects that exist from the start
         if self.operations is not None:
-            tasks.append(start("operations", self.operations.start))
+            if not self.operations.start():
+                tasks.append(start("operations", self.operations.start_when_free))
             tasks.append(start("publish", self.operations.publish_metrics))
         return tasks
 
--- a/onyxwick/net/listening.py
+++ b/onyxwick/net/listening.py
@@ -41,6 +41,14 @@
             time.sleep(BIND_RETRY_DELAY_S)
 
 
+def listen_now(address: tuple[str, int]) -> socket.socket | None:
+    """Return a non-blocking listening socket, or None if the address cannot be bound at the moment."""
+    try:
+        return _bind_and_listen(address)
+    except OSError:
+        return None
+
+
 async def listen_when_free(
     address: tuple[str, int], is_stopped: Callable[[], bool], limit_s: float = START_LIMIT_S
 ) -> socket.socket | None:
--- a/onyxwick/operations/endpoint.py
+++ b/onyxwick/operations/endpoint.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import socket
 import time
 from collections.abc import Callable
 
@@ -61,11 +62,20 @@
         """Return the counters of the endpoint's thread; None before the thread is started."""
         return None if self.server is None else self.server.counters
 
-    async def start(self) -> None:
-        """Listen and serve in a thread, as soon as the address is free. The director serves meanwhile."""
+    def start(self) -> bool:
+        """Listen and serve in a thread. Return False if the address cannot be bound at the moment."""
+        listening_socket = listening.listen_now(self.address)
+        if listening_socket is not None:
+            self._serve(listening_socket)
+        return listening_socket is not None
+
+    async def start_when_free(self) -> None:
+        """Start as soon as the address is free. The director serves clients meanwhile."""
         listening_socket = await listening.listen_when_free(self.address, self._is_stopped, math.inf)
-        if listening_socket is None:
-            return
+        if listening_socket is not None:
+            self._serve(listening_socket)
+
+    def _serve(self, listening_socket: socket.socket) -> None:
         executor = self.executor
         executor.loop = asyncio.get_running_loop()
         self.server = OperationsServer(
