A call that came during a stall counts from it, however long it is then read in pieces

Cause: bytes that stay unread after a read counted from that read, and a stall is forgotten after 0.3 s, so a call whose last byte was read later looked as if it had just come. Why it works: what stays unread may have come as early as what was read with it, so it keeps that time.

--- a/onyxwick/net/arrival_clock.py
+++ b/onyxwick/net/arrival_clock.py
@@ -22,13 +22,15 @@
         self.sock = sock
         self.parser = parser
         self.unread_since_s = 0.0  # since when bytes in the socket may have been unread, or 0
+        self._read_since_s = 0.0  # since when the bytes of the last read may have waited
         self._noted_at_s = 0.0
         self._noted_until_bytes: float = math.inf  # bytes received plus bytes unread at `_noted_at_s`
 
     def note_unread(self, is_paused: bool) -> None:
         """Record after a read that bytes are still unread, or that reading pauses, so that bytes may wait.
 
-        Their wait counts from the time of this call. Once all bytes that were unread then have been read, any
+        Their wait counts from the time of this call, or as long as that of the bytes just read: both may have
+        come in the same stall. Once all bytes that were unread then have been read, any
         bytes still unread arrived after this call, and their wait also counts from this call.
         """
         now_s = time.monotonic()
@@ -38,7 +40,7 @@
             self.unread_since_s = 0.0
             return
         if not self.unread_since_s:
-            self.unread_since_s = now_s
+            self.unread_since_s = min(now_s, self._read_since_s or now_s)
         elif received >= self._noted_until_bytes:
             self.unread_since_s = self._noted_at_s
         else:
@@ -55,6 +57,7 @@
         since_s = stalled_since_s
         if self.unread_since_s:
             since_s = min(since_s, self.unread_since_s)
+        self._read_since_s = since_s
         if since_s >= now_s:
             return 0.0
         # The operating system reports only when the last bytes were received. With several calls in one read
--- a/tests/test_arrival_clock.py
+++ b/tests/test_arrival_clock.py
@@ -237,3 +237,30 @@
         assert arrivals[0] < sent_us + 150_000
 
     run_scenario(scenario)
+
+
+# Guards against: a call that came during a stop, is read in pieces, and is told to a cache as just come.
+def test_time_in_a_stall_counts_for_a_call_that_is_read_in_pieces_long_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def receive_slowly(buffer: ReceiveBuffer, sock: socket.socket) -> bool:
+        time.sleep(0.004)  # a busy turn of the loop, far shorter than a stall
+        return receive_piece(buffer, sock, 2)
+
+    async def scenario(harness: DirectorHarness) -> None:
+        cache = harness.add_cache("c0")
+        harness.router.on_arrival = lambda request: forward_to(request, "c0")
+        client = await harness.connect_client()
+        client.send(encode_call(1, path="/ping"))
+        await harness.read_until(client, b"200 OK")
+        monkeypatch.setattr(ReceiveBuffer, "receive_available", receive_slowly)
+        limit = {"HTTP_X_TIMEOUT_MS": "3000"}
+        client.send(encode_call(2, path="/ping") * 2 + encode_call(3, extra_params=limit))
+        sent_at_s = time.monotonic()
+        time.sleep(0.6)  # the stall
+        conn = await harness.accept(cache)
+        timeout_ms = sent_timeout_ms(await harness.read_until(conn, f"{3:016x}".encode()))
+        assert time.monotonic() - sent_at_s > 1.2, "the call was read too soon to show the fault"
+        assert timeout_ms <= 3000 - 1000 * (time.monotonic() - sent_at_s) + 150
+
+    run_scenario(scenario)
