The test of a waiting command waits for one that cannot have been sent

It failed once in a run of all tests beside the soaks (10 s, no bytes accounted). Trace: its connection could be established and the command written before the first look, and then nothing is held for ever.

--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -135,12 +135,12 @@
 
 def test_a_command_that_waits_for_its_connection_is_accounted_until_it_is_over() -> None:
     async def scenario(harness: DirectorHarness) -> None:
-        cache = harness.add_cache("c0")
+        (accept_next,) = harness.cache_with_full_backlog("c0")  # the command waits until it accepts
         forward_arrivals_to(harness, "c0")
         lifecycle = harness.start(body=bytes(20_000))
         commands = harness.caches.memory.held[HeldKind.CACHE_OUTPUT]
         await harness.wait_until(lambda: commands.held_bytes > 20_000)
-        conn = await harness.accept(cache)
+        conn = await accept_next()
         await harness.read_until(conn, b"$20000\r\n")
         harness.core.client_departed(lifecycle)
         await harness.wait_until(lambda: not harness.core.lifecycles)
