Look at the memory account only where a connection holds more than before

A served request looked at the sum of all kinds for each read of a client and of a cache; now only a read that made its buffer or partial requests grow does, and each admission.

--- a/onyxwick/net/cache_connection.py
+++ b/onyxwick/net/cache_connection.py
@@ -281,8 +281,10 @@
                 self._on_reply(decode_reply(words, self.pool.report_names))
             if len(parser.buffer):
                 self.partial_answer_since_s = self.partial_answer_since_s or now_s
-            self._account(CONNECTION_BYTES + len(parser.buffer.data) + len(parser.buffer))
-            self.pool.memory.reclaim(now_s)
+            held_bytes = CONNECTION_BYTES + len(parser.buffer.data) + len(parser.buffer)
+            if held_bytes != self._held_bytes:
+                self._account(held_bytes)
+                self.pool.memory.reclaim(now_s)
             # A body may arrive slowly and in many pieces: the low-water mark gives one wake-up for all
             # missing bytes instead of one for each piece.
             missing_bytes = max(1, min(parser.needed_bytes - len(parser.buffer), MAX_LOW_WATER_BYTES))
--- a/onyxwick/net/connection_memory.py
+++ b/onyxwick/net/connection_memory.py
@@ -49,16 +49,19 @@
         self._input_bytes = 0  # accounted for this connection
         self._account_input()
 
-    def _account_input(self) -> None:
-        held_bytes = CONNECTION_BYTES + self.parser.held_bytes
-        self._input.held_bytes += held_bytes - self._input_bytes
-        self._input_bytes = held_bytes
+    def _account_input(self) -> bool:
+        """Account for the receive buffer and partial calls. Return whether they have grown."""
+        added_bytes = CONNECTION_BYTES + self.parser.held_bytes - self._input_bytes
+        if added_bytes:
+            self._input.held_bytes += added_bytes
+            self._input_bytes += added_bytes
+        return added_bytes > 0
 
     def update(self, now_s: float) -> None:
         """Account for what was received, and reclaim memory if there is too little."""
         self.parser.buffer.shrink()
-        self._account_input()
-        self.account.reclaim(now_s)
+        if self._account_input():
+            self.account.reclaim(now_s)
 
     def close(self) -> None:
         """Release what was received, and account for nothing any more."""
--- a/onyxwick/net/front_connection.py
+++ b/onyxwick/net/front_connection.py
@@ -133,7 +133,7 @@
             await self._close_gracefully()
 
     def _is_backlogged(self) -> bool:
-        return self.writes.held_bytes > PAUSE_READING_ABOVE_BYTES
+        return self.writes.pending_bytes > 0 and self.writes.held_bytes > PAUSE_READING_ABOVE_BYTES
 
     def has_unread_answers(self) -> bool:
         """Return whether answers wait for the client to read earlier ones."""
