--- a/onyxwick/lab/soak/clients.py
+++ b/onyxwick/lab/soak/clients.py
@@ -95,8 +95,9 @@
             connection = await self._connect(director, address)
             if connection is None:
                 return
-        if rng.random() < BAD_CALL_CHANCE and connection.transport is not None:
-            connection.transport.write(_bad_call())
+        transport = connection.transport
+        if rng.random() < BAD_CALL_CHANCE and transport is not None and not transport.is_closing():
+            transport.write(_bad_call())
             connection.asked += 1
         await self._request(director, address, connection)
 
