Log and export what a director knows of its feed, and since when

Change: core/feed_freshness.py keeps the state of the feed (starting, joined, behind, current, lost, absent, overdue) and the age of the list; it is told by net/feed_report.py and decides nothing yet. Log lines: feed state changed, endpoint not ready, attempt sent on an unconfirmed list. Metrics: six rows app_feed_*.

--- a/onyxwick/core/attempt_runner.py
+++ b/onyxwick/core/attempt_runner.py
@@ -11,6 +11,7 @@
 
 from onyxwick import logs
 from onyxwick.core.context import EngineContext
+from onyxwick.core.feed_freshness import FeedFreshness
 from onyxwick.core.invariant_model import AttemptStarted
 from onyxwick.core.model import AttemptOutcome, AttemptSpec
 from onyxwick.core.request_lifecycle import AttemptDecided, AttemptFinished, RequestLifecycle
@@ -127,7 +128,25 @@
             spec.max_age_us,
             spec.remaining_us(),
         )
-        self.context.invariants.attempt_started(started, self.context.now())
+        now_us = self.context.now()
+        self.context.invariants.attempt_started(started, now_us)
+        freshness = self.context.feed_gate.freshness
+        if not freshness.is_confirmed():
+            self._log_unconfirmed_send(started, freshness, now_us)
+
+    def _log_unconfirmed_send(self, started: AttemptStarted, freshness: FeedFreshness, now_us: int) -> None:
+        """Count and log an attempt that was sent while the feed did not confirm the list."""
+        age_us = freshness.age_us(now_us)
+        self.context.counters.add("feed.unconfirmed_send")
+        log.info(
+            "attempt sent on an unconfirmed list",
+            request=started.request,
+            attempt=started.attempt_index,
+            member=started.member,
+            source=started.fill_source,
+            state=freshness.state.value,
+            age_ms=None if age_us is None else age_us // 1000,
+        )
 
     def _record_retry(self, lifecycle: RequestLifecycle, attempt_index: int) -> None:
         """Count and log the reason of a retry: the last attempt's status, or "overdue" if it is in flight."""
--- a/onyxwick/core/context.py
+++ b/onyxwick/core/context.py
@@ -8,6 +8,7 @@
 
 from onyxwick import logs
 from onyxwick.core.endpoints import EndpointTable
+from onyxwick.core.feed_gate import FeedGate
 from onyxwick.core.invariant_model import Violation
 from onyxwick.core.invariants import Invariants
 from onyxwick.core.model import CacheTransport
@@ -55,6 +56,7 @@
     now: Callable[[], int]
     handle: EventHandler
     guard: SendGuard
+    feed_gate: FeedGate
     invariants: Invariants
     max_open_requests: int
     non_idempotent_classes: frozenset[str]
--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -18,6 +18,8 @@
 from onyxwick.core.clock import steady_us
 from onyxwick.core.context import EngineContext, MonotonicTime, report_violation
 from onyxwick.core.endpoints import EndpointTable
+from onyxwick.core.feed_freshness import FeedFreshness, FeedGauges, FeedStateChange
+from onyxwick.core.feed_gate import FeedGate
 from onyxwick.core.feed_intake import MEMBER_BYTES, FeedIntake
 from onyxwick.core.invariants import Invariants
 from onyxwick.core.memory_account import HeldKind, MemoryAccount
@@ -80,6 +82,8 @@
         self.counters = counters
         self.now = MonotonicTime(clock)
         self.stalls = StallDetector(time.monotonic())
+        self.freshness = FeedFreshness()
+        self.freshness.on_change = self._record_feed_state
         self.guard = SendGuard(settings, endpoints, self.stalls, self.now, self.client_departed)
         self.invariants = Invariants(settings, partial(report_violation, counters), self._mean_transfer_us)
         self.context = EngineContext(
@@ -90,6 +94,7 @@
             self.now,
             self.handle,
             self.guard,
+            FeedGate(self.freshness, self.now, counters),
             self.invariants,
             max_open_requests,
             _non_idempotent_classes(settings),
@@ -144,6 +149,29 @@
             why=change.reason,
         )
 
+    def _record_feed_state(self, change: FeedStateChange) -> None:
+        """Count and log a transition of the feed's state, with what is known of the feed then."""
+        self.counters.add(f"feed.state.{change.state.value}")
+        log.info(
+            "feed state changed",
+            was=change.previous.value,
+            now=change.state.value,
+            reason=change.reason,
+            index=self.feed.last_index,
+            announced=self.freshness.announced_index,
+            age_ms=None if change.age_us is None else change.age_us // 1000,
+            ready=sum(self.endpoints.is_ready(member) for member in self.endpoints.listed),
+        )
+
+    def feed_gauges(self) -> FeedGauges:
+        """Return what is known of the feed now."""
+        age_us = self.freshness.age_us(self.now())
+        return FeedGauges(
+            self.feed.last_index,
+            self.freshness.announced_index,
+            -1 if age_us is None else age_us // 1000,
+        )
+
     def _with_snapshot(self, action: Action) -> LifecycleMessage:
         """Add the endpoint list's present state to an attempt, as the list may change before it is sent."""
         if isinstance(action, ForwardRequest | ForwardWithFill):
--- /dev/null
+++ b/onyxwick/core/feed_freshness.py
@@ -0,0 +1,233 @@
+"""How old the director's knowledge of the coordinator's events is, and whether requests may be sent on it.
+
+An event binds a director from the moment it is in the coordinator, whether or not it has arrived. So the list
+and the purges are acted on under a lease (Gray and Cheriton 1989): for `LIST_LEASE_US` after the last moment
+at which nothing can have been outstanding. A feed that brings its lines renews the lease all the time, and so
+does a coordinator that refuses connections, as it is not running and is told nothing. Once the lease has
+expired, requests wait for the feed, for a limited time: a director without a coordinator must serve on.
+
+The states, their transitions and the bounds are in docs/design/freshness.md. This module does no I/O; times
+are in steady microseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+LIST_LEASE_US = 400_000
+"""How long the list is acted on after it was last known to be complete.
+
+A drain must be followed 0.5 s after the coordinator was notified of it; the rest is for the way to a cache.
+"""
+START_WAIT_US = 2_500_000
+"""Longest wait of a start for the feed: with the interpreter's own start, a director without a coordinator is
+ready within 3 s."""
+RECONNECT_WAIT_US = 1_000_000
+"""Longest wait of a running director's requests for a lost feed, after the lease: the time after which a lost
+connection request is sent again, and less than a client's timeout."""
+START_REFUSED_US = 500_000
+"""A start accepts that the coordinator is not running once its connections were refused for this long. A
+coordinator that is only being restarted, and was told of an event before, is back by then."""
+
+
+class FeedState(Enum):
+    """What the director knows about its feed. The values appear in log lines and metrics."""
+
+    NOT_FOLLOWED = "not_followed"
+    """There is no feed: the list never changes."""
+    STARTING = "starting"
+    """Only the list of the configuration or the store is known; events may have followed it."""
+    JOINED = "joined"
+    """A connection brings lines, but has not told its last index yet."""
+    BEHIND = "behind"
+    """The feed has announced an event that is not applied yet."""
+    CURRENT = "current"
+    """All events up to now are applied."""
+    LOST = "lost"
+    """No connection brings lines."""
+    ABSENT = "absent"
+    """The coordinator refuses connections: it is not running, so no event can be outstanding."""
+    OVERDUE = "overdue"
+    """The longest wait is over: requests are sent on the list as it is known."""
+
+
+@dataclass(frozen=True, slots=True)
+class FeedStateChange:
+    """A transition, for the log. `age_us` is the age of the list then; None if it was never complete."""
+
+    previous: FeedState
+    state: FeedState
+    reason: str
+    age_us: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class FeedGauges:
+    """What is known of the feed at one moment, for metrics. `age_ms` is -1 if the list was never complete."""
+
+    index: int = 0
+    announced_index: int = 0
+    age_ms: int = 0
+
+
+class FeedFreshness:
+    """The freshness of one director's list and purges.
+
+    `on_change` is called for each transition, and `on_usable` whenever requests that waited may be sent.
+    """
+
+    def __init__(self) -> None:
+        self.state = FeedState.NOT_FOLLOWED
+        self.on_change: Callable[[FeedStateChange], None] | None = None
+        self.on_usable: Callable[[], None] | None = None
+        self.announced_index = 0
+        self._started_at_us = 0
+        self._confirmed_at_us: int | None = None  # while not CURRENT: when the list was last complete
+        self._announced_at_us = 0  # when the last index was announced up to which all events were applied
+        self._unhandled_since_us: int | None = None  # while CURRENT: since when input waits to be applied
+        self._refused_since_us: int | None = None
+        self._overdue_until_current = False
+
+    # ---- questions ---------------------------------------------------------------------------------------
+
+    def age_us(self, now_us: int) -> int | None:
+        """Return how long ago the list was last known to be complete; None if it never was."""
+        confirmed_at_us = self._last_confirmed_us(now_us)
+        return None if confirmed_at_us is None else max(0, now_us - confirmed_at_us)
+
+    def is_confirmed(self) -> bool:
+        """Return whether a feed confirms the list at present, or none is followed."""
+        return self.state in (FeedState.NOT_FOLLOWED, FeedState.CURRENT)
+
+    def may_send(self, now_us: int) -> bool:
+        """Return whether requests may be sent on the list as it is known."""
+        if self.state is FeedState.NOT_FOLLOWED or self._overdue_until_current:
+            return True
+        age_us = self.age_us(now_us)
+        if age_us is not None and age_us <= LIST_LEASE_US:
+            return True
+        if now_us < self.wait_ends_at_us(now_us):
+            return False
+        self._overdue_until_current = True
+        self._enter(FeedState.OVERDUE, "the longest wait is over", now_us)
+        return True
+
+    def wait_ends_at_us(self, now_us: int) -> int:
+        """Return until when requests wait at most, once the lease has expired."""
+        confirmed_at_us = self._last_confirmed_us(now_us)
+        if confirmed_at_us is None:
+            return self._started_at_us + START_WAIT_US
+        return confirmed_at_us + LIST_LEASE_US + RECONNECT_WAIT_US
+
+    def is_ready(self, now_us: int) -> bool:
+        """Return whether the start's wait for the feed is over, so that clients may come.
+
+        Changes nothing, so that any thread may ask.
+        """
+        if self.state is FeedState.NOT_FOLLOWED or self._overdue_until_current:
+            return True
+        return self._confirmed_at_us is not None or now_us >= self._started_at_us + START_WAIT_US
+
+    def _last_confirmed_us(self, now_us: int) -> int | None:
+        if self.state is not FeedState.CURRENT:
+            return self._confirmed_at_us
+        return now_us if self._unhandled_since_us is None else self._unhandled_since_us
+
+    # ---- inputs ------------------------------------------------------------------------------------------
+
+    def on_started(self, now_us: int) -> None:
+        """Begin the wait for the feed: the list that is known may be of any age."""
+        self._started_at_us = now_us
+        self._enter(FeedState.STARTING, "started", now_us)
+
+    def on_joined(self, now_us: int) -> None:
+        """Record a connection that has brought its first bytes."""
+        self._refused_since_us = None
+        self.announced_index = 0
+        self._enter(FeedState.JOINED, "first bytes received", now_us)
+
+    def on_input(self, now_us: int) -> None:
+        """Record bytes of the feed that are not applied yet, received or partly received at `now_us`."""
+        if self.state is FeedState.CURRENT and self._unhandled_since_us is None:
+            self._unhandled_since_us = now_us
+
+    def on_input_applied(self, now_us: int) -> None:
+        """Record that all bytes received so far are applied."""
+        if self._unhandled_since_us is None:
+            return
+        waited = now_us - self._unhandled_since_us > LIST_LEASE_US
+        self._unhandled_since_us = None
+        if self.state is FeedState.CURRENT:
+            self._overdue_until_current = False
+            if waited:
+                self._notify_usable()
+
+    def on_announced(self, index: int, applied_index: int, now_us: int) -> None:
+        """Record the last index that the feed announces, and the index up to which events are applied."""
+        self.announced_index = index
+        if applied_index >= index:
+            self._announced_at_us = now_us
+            self._become_current("all announced events are applied", now_us)
+            return
+        if self.state is FeedState.CURRENT:
+            self._leave_current(self._announced_at_us)
+        self._enter(FeedState.BEHIND, f"event {index} announced, {applied_index} applied", now_us)
+
+    def on_applied(self, applied_index: int, now_us: int) -> None:
+        """Record that events are applied up to an index."""
+        if self.state is FeedState.BEHIND and applied_index >= self.announced_index:
+            self._become_current("all announced events are applied", now_us)
+
+    def on_lost(self, heard_at_us: int, reason: str, now_us: int) -> None:
+        """Record the end of the connection. `heard_at_us`: nothing was outstanding on it up to this time."""
+        if self.state is FeedState.CURRENT:
+            self._leave_current(heard_at_us)
+        self._enter(FeedState.LOST, reason, now_us)
+
+    def on_refused(self, now_us: int) -> None:
+        """Record that the coordinator refused a connection. It is not running, and knows of no event."""
+        if self._refused_since_us is None:
+            self._refused_since_us = now_us
+        if self._confirmed_at_us is None and now_us - self._refused_since_us < START_REFUSED_US:
+            return
+        self._confirmed_at_us = now_us
+        self._overdue_until_current = False
+        self._enter(FeedState.ABSENT, "connection refused", now_us)
+        self._notify_usable()
+
+    # ---- transitions -------------------------------------------------------------------------------------
+
+    def _become_current(self, reason: str, now_us: int) -> None:
+        if self.state is FeedState.CURRENT:
+            return
+        self._enter(FeedState.CURRENT, reason, now_us)
+        self._confirmed_at_us = now_us
+        self._unhandled_since_us = None
+        self._refused_since_us = None
+        self._overdue_until_current = False
+        self._notify_usable()
+
+    def _leave_current(self, complete_at_us: int) -> None:
+        """Stop the lease's renewal: the list was last known to be complete at `complete_at_us`."""
+        if self._unhandled_since_us is not None:
+            complete_at_us = min(complete_at_us, self._unhandled_since_us)
+        self._confirmed_at_us = complete_at_us
+        self._unhandled_since_us = None
+        self._overdue_until_current = False
+
+    def _enter(self, state: FeedState, reason: str, now_us: int) -> None:
+        if state is self.state:
+            return
+        change = FeedStateChange(self.state, state, reason, self._age_since_confirmed_us(now_us))
+        self.state = state
+        if self.on_change is not None:
+            self.on_change(change)
+
+    def _age_since_confirmed_us(self, now_us: int) -> int | None:
+        return None if self._confirmed_at_us is None else max(0, now_us - self._confirmed_at_us)
+
+    def _notify_usable(self) -> None:
+        if self.on_usable is not None:
+            self.on_usable()
--- a/onyxwick/core/feed_intake.py
+++ b/onyxwick/core/feed_intake.py
@@ -23,6 +23,7 @@
 log = logs.get()
 MEMBER_BYTES = 3000
 """Memory that a listed member takes in all tables of the director together."""
+MAX_LOGGED_MEMBERS = 16
 
 
 class _ReceivedMember(NamedTuple):
@@ -38,6 +39,7 @@
         self.adjust_endpoints: Callable[[EndpointsChanged, int], EndpointsChanged] | None = None
         """Applies the operators' commands to a list event, given the time, before the router receives it."""
         self.max_members = DEFAULT_LIMIT_BYTES // MEMBER_BYTES
+        self.last_index = 0  # index of the last event applied or skipped, for the log
         self._received: dict[str, _ReceivedMember] = {}  # by member id, as received before any adjustment
 
     def apply_endpoints(self, event: EndpointsChanged, addresses: dict[str, Address]) -> None:
@@ -53,10 +55,23 @@
             event = context.durable.recovery.with_drains(event)
         if self.adjust_endpoints is not None:
             event = self.adjust_endpoints(event, context.now())
+        self._log_unready(event)
         context.invariants.endpoints_changed(event, context.now())
         context.endpoints.apply(event, addresses)
         context.handle(event)
 
+    def _log_unready(self, event: EndpointsChanged) -> None:
+        """Log the members that no request may be sent to any more."""
+        unready = [member for member in event.members if member.state is not MemberState.READY]
+        for member in unready[:MAX_LOGGED_MEMBERS]:
+            if self.context.endpoints.is_ready(member.address):
+                log.info(
+                    "endpoint not ready",
+                    member=member.address,
+                    state=member.state.value,
+                    after=self.last_index,
+                )
+
     def _without_excess(self, event: EndpointsChanged) -> EndpointsChanged:
         """Return the event without the new members that are more than `max_members`."""
         listed = set() if event.kind is not EndpointListKind.CHANGE else set(self._received)
@@ -108,6 +123,7 @@
     def record_feed_index(self, index: int) -> None:
         """Record that the coordinator's feed was received up to the event number `index`."""
         context = self.context
+        self.last_index = index
         if context.durable is not None:
             stored_drains = list(context.durable.recovery.drains)
             if context.durable.record_feed_number(index, context.now()):
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -215,6 +215,7 @@
         tasks: list[asyncio.Task[None]] = []
         if self.service is not None:
             tasks += self.service.start(self.health)
+        self.engine.freshness.on_started(self.engine.now())
         self.coordinator.load_configured(self.config.known_events)
         feed_coroutine = (
             self.coordinator.follow() if self.service is None else self.service.follow(self.coordinator)
--- a/onyxwick/net/coordinator_feed.py
+++ b/onyxwick/net/coordinator_feed.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 import time
 from collections.abc import Callable
@@ -25,7 +24,16 @@
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import ReceiveBuffer
 from onyxwick.net.errors import EventApplyError, FeedConnectionError
+from onyxwick.net.feed_lines import (
+    QUOTED_LINE_BYTES,
+    max_line_bytes,
+    max_parsed_bytes,
+    parsed_bytes,
+    peek_index,
+    read_index,
+)
 from onyxwick.net.feed_race import SILENCE_LIMIT_S, FeedRace
+from onyxwick.net.feed_report import FeedReport
 from onyxwick.net.feed_wire import (
     CONFIGURED_EVENTS,
     INDEX,
@@ -51,18 +59,6 @@
 """
 MAX_RETRY_US = 1_000_000
 """Longest wait. With the limits for a connect and for silence, the feed is restored well within 4 s."""
-MAX_LINE_BYTES = 4_194_304
-LINE_SHARE = 1 / 4
-"""A line may take this share of the memory account, if that is less than `MAX_LINE_BYTES`."""
-PARSED_SHARE = 1 / 2
-"""The objects that a line is parsed to may take this share of the memory account."""
-CONTAINER_BYTES = 72
-"""Memory of an empty list or object of JSON and its place in another."""
-VALUE_BYTES = 64
-"""Memory of a short string or a number and its place."""
-MAX_INDEX = 2**53
-"""Indices are exact in JSON up to this number."""
-QUOTED_LINE_BYTES = 64
 LINE_HANDLING_LIMIT_S = 0.005
 """Time for handling lines in one turn of the event loop. A long list in one line may exceed it."""
 CATCH_UP_LIMIT_S = 0.25
@@ -71,21 +67,6 @@
 """This machine's clock may be behind the feed's clock by up to this much."""
 US_PER_S = 1e6
 UNKNOWN_ADDRESS: Address = ("", 0)
-_match_index = re.compile(rb'\s*\{\s*"index"\s*:\s*(\d{1,16})\b').match
-
-
-def _parsed_bytes(text: bytes) -> int:
-    """Return an upper estimate of the memory of the objects that a line of JSON is parsed to."""
-    containers = text.count(b"{") + text.count(b"[")
-    return len(text) + CONTAINER_BYTES * containers + VALUE_BYTES * text.count(b",")
-
-
-def _read_index(value: Any) -> int:
-    """Return the index of an event. Raises OverflowError, TypeError or ValueError if it is none."""
-    index = int(value)
-    if not 0 <= index <= MAX_INDEX:
-        raise ValueError(f"index {index!r:.32}, expected 0 to {MAX_INDEX}")
-    return index
 
 
 class CoordinatorFeed:
@@ -101,6 +82,7 @@
         self.core = core
         self.counters = counters
         self.address = UNKNOWN_ADDRESS
+        self._followed_address = UNKNOWN_ADDRESS  # the address of the present connection
         policy = BackoffPolicy(max_delay_us=MAX_RETRY_US)
         self.backoff = ReconnectBackoff(seed, core.now(), policy, directors)
         self.initial_delay_us = 0
@@ -111,12 +93,13 @@
         self.race: FeedRace | None = None  # while a connection is being established
         self.buffer = ReceiveBuffer()
         self.held = core.memory.held[HeldKind.FEED]
-        self.max_line_bytes = min(MAX_LINE_BYTES, int(core.memory.limit_bytes * LINE_SHARE))
-        self.max_parsed_bytes = int(core.memory.limit_bytes * PARSED_SHARE)
+        self.max_line_bytes = max_line_bytes(core.memory.limit_bytes)
+        self.max_parsed_bytes = max_parsed_bytes(core.memory.limit_bytes)
         self._is_line_dropped = False  # the line that is being received was too long; its rest is discarded
         self.line_started_s = 0.0
         self.line_limit = DoublingTimeout(LINE_LIMIT_S, MAX_LINE_LIMIT_DOUBLINGS)
         self.stamps = FeedTimestamps()
+        self.report = FeedReport(core)
         self.apply_failures = 0  # failed attempts to apply the next event
         self.gap_connections = 0  # consecutive connections on which the next event was missing
         self._silence_limit: asyncio.Timeout | None = None  # of the current connection
@@ -136,7 +119,7 @@
                     self._apply_configured(event)
                     break
         try:
-            self.last_index = max(self.last_index, _read_index(known.get(INDEX) or 0))
+            self.last_index = max(self.last_index, read_index(known.get(INDEX) or 0))
         except MALFORMED_EVENT_ERRORS as error:
             self.report_bad_input(f"index of the configured events: {error!r}")
 
@@ -152,7 +135,7 @@
         Raises EventApplyError if applying it failed and it should be requested again. Raises one of
         `MALFORMED_EVENT_ERRORS` if it has no valid index.
         """
-        index = _read_index(event[INDEX])
+        index = read_index(event[INDEX])
         if index <= self.last_index:
             return
         try:
@@ -170,7 +153,7 @@
                 raise EventApplyError(index) from error
         self.last_index = index
         self.apply_failures = 0
-        self.core.feed.record_feed_index(index)
+        self.report.applied(index)
 
     def _apply_changes(self, changes: FeedChanges) -> None:
         if changes.endpoints is not None:
@@ -188,7 +171,7 @@
 
         Raises FeedConnectionError if events are missing or an event could not be applied.
         """
-        if (needed_bytes := _parsed_bytes(text)) > self.max_parsed_bytes:
+        if (needed_bytes := parsed_bytes(text)) > self.max_parsed_bytes:
             self._skip_event(
                 text, f"line needs {needed_bytes} bytes, at most {self.max_parsed_bytes} are allowed"
             )
@@ -196,10 +179,10 @@
         try:
             document = ujson.loads(text)
             if isinstance(document, dict):
-                self._check_sequence(_read_index(document[INDEX]))
+                self._check_sequence(read_index(document[INDEX]))
                 self.apply(document)
             elif isinstance(document, int):
-                self._on_announced_index(_read_index(document))
+                self._on_announced_index(read_index(document))
             else:
                 self.report_bad_input(f"line is neither an index nor an event: {text[:QUOTED_LINE_BYTES]!r}")
         except MALFORMED_EVENT_ERRORS as error:
@@ -212,10 +195,9 @@
         """
         self.report_bad_input(f"{reason}: {head[:QUOTED_LINE_BYTES]!r}")
         self.counters.add("feed.skipped")
-        match = _match_index(head)
-        if match is not None and int(match[1]) == self.last_index + 1:
+        if peek_index(head) == self.last_index + 1:
             self.last_index += 1
-            self.core.feed.record_feed_index(self.last_index)
+            self.report.applied(self.last_index)
 
     def _check_sequence(self, index: int) -> None:
         """Raise FeedConnectionError if events are missing: a new connection requests them again.
@@ -241,6 +223,7 @@
         self.announced_index = index
         if self.last_index >= index:
             self.stamps.mark_caught_up(self.core.now())
+        self.report.announced(index, self.last_index)
 
     # ---- connection --------------------------------------------------------------------------------------
 
@@ -262,15 +245,22 @@
             except (OSError, TimeoutError) as error:
                 self.counters.add("coordinator.lost")
                 log.info("coordinator lost", error=repr(error), last=self.last_index)
-            except Exception:  # the feed's task must outlive any fault in one connection
+                self._report_loss(error)
+            except Exception as error:  # the feed's task must outlive any fault in one connection
                 self.counters.add("error.coordinator")
                 log.exception("feed handling failed")
+                self._report_loss(error)
             finally:
                 self._silence_limit = None
             await asyncio.sleep(self.backoff.next_delay_us(FIRST_RETRY_US) / US_PER_S)
 
+    def _report_loss(self, error: Exception) -> None:
+        has_moved = self.address != self._followed_address
+        self.report.lost(error, was_closed=has_moved or not isinstance(error, TimeoutError))
+
     async def _follow_once(self) -> None:
-        address = self.address
+        address = self._followed_address = self.address
+        self.report.connecting()
         self.announced_index = 0
         self.buffer = ReceiveBuffer()
         self._is_line_dropped = False
@@ -298,14 +288,22 @@
             if address != self.address:
                 break
             with contextlib.suppress(BlockingIOError):  # `catch_up` has already read the bytes
-                if not self.buffer.receive_available(sock):
-                    raise FeedConnectionError("connection closed by the coordinator")
+                self._receive(sock)
             self.held.held_bytes = len(self.buffer.data)
             while self._handle_lines(LINE_HANDLING_LIMIT_S):
                 await asyncio.sleep(0)  # other tasks run before the next line
             self._check_partial_line()
         raise FeedConnectionError("the feed's address has changed")
 
+    def _receive(self, sock: socket.socket) -> None:
+        """Read once from the socket.
+
+        Raises FeedConnectionError at the end of the stream, and BlockingIOError if nothing is to be read.
+        """
+        if not self.buffer.receive_available(sock):
+            raise FeedConnectionError("connection closed by the coordinator")
+        self.report.received()
+
     def _check_partial_line(self) -> None:
         """Drop a partial line that is too long. Raise FeedConnectionError if it takes too long to arrive."""
         self.buffer.expected_bytes = self.max_line_bytes
@@ -345,9 +343,11 @@
         Raises FeedConnectionError if the connection can no longer be used.
         """
         deadline_s = time.monotonic() + limit_s
+        handled = False
         while (size := self.buffer.find(b"\n")) >= 0:
             if time.monotonic() > deadline_s:
                 return True
+            handled = True
             line = self.buffer.take(size + 1).strip()
             if self._is_line_dropped:
                 self._is_line_dropped = False
@@ -358,6 +358,8 @@
                 self.backoff.reset()
                 self.line_limit.reset()
             self.line_started_s = time.monotonic()
+        if handled:
+            self.report.applied_lines(has_partial_line=len(self.buffer) > 0)
         return False
 
     def catch_up(self) -> None:
@@ -389,3 +391,4 @@
                 return
             if not self.buffer.receive_available(sock):
                 return  # the reader also detects the end of the stream
+            self.report.received()
--- a/onyxwick/operations/command_executor.py
+++ b/onyxwick/operations/command_executor.py
@@ -145,6 +145,7 @@
             self.engine.memory.by_kind(),
             self.engine.memory.limit_bytes,
             self.engine.memory.process_bytes,
+            self.engine.feed_gauges(),
         )
 
 
--- a/onyxwick/operations/metrics.py
+++ b/onyxwick/operations/metrics.py
@@ -10,6 +10,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from onyxwick.core.feed_freshness import FeedGauges
+
 METRIC_PREFIX = "app"
 
 
@@ -26,6 +28,7 @@
     held_limit_bytes: int = 0
     anonymous_bytes: int = 0
     """Memory that the process has allocated, at the last look of the memory monitor."""
+    feed: FeedGauges = field(default_factory=FeedGauges)
 
 
 def _by_suffix(counts: Mapping[str, int], prefix: str) -> dict[str, int]:
@@ -60,6 +63,12 @@
         "memory_bytes": {"value": snapshot.anonymous_bytes},
         "memory_released": _by_kind(counts, "memory.released."),
         "memory_refused": {"value": counts.get("refused.memory", 0) + counts.get("answer.dropped", 0)},
+        "feed_index": {"value": snapshot.feed.index},
+        "feed_announced": {"value": snapshot.feed.announced_index},
+        "feed_age_ms": {"value": snapshot.feed.age_ms},
+        "feed_states": _by_kind(counts, "feed.state."),
+        "feed_waited": {"value": counts.get("feed.waited", 0)},
+        "feed_unconfirmed_sends": {"value": counts.get("feed.unconfirmed_send", 0)},
         "sighup_applied": {"value": counts.get("reload.read", 0)},
         "sighup_rejected": {"value": counts.get("reload.bad", 0)},
     }
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -192,6 +192,12 @@
         "app_memory_bytes",
         "app_memory_released",
         "app_memory_refused",
+        "app_feed_index",
+        "app_feed_announced",
+        "app_feed_age_ms",
+        "app_feed_states",
+        "app_feed_waited",
+        "app_feed_unconfirmed_sends",
         "app_sighup_applied",
         "app_sighup_rejected",
     ]
