The feed's last index alone is not taken for the event of that index

Callers saw: requests went to drained servers for as long as the director ran, wherever the coordinator told its last index before the event. Cause: the platform writes the last index as {"index":N}; the code knew it as a bare number only and applied the object as event N without a change, so that the event N which followed was dropped as received already. For the same reason the feed never counted as caught up on the platform (FeedTimestamps.mark_caught_up). The lab's coordinator wrote the bare number, which is why no soak saw it. Change: an object with nothing but an index is the last index, like a number; an event that is announced on four connections and never sent is skipped with an error line, where it was asked for for ever; the lab's coordinator writes the platform's form. MAX_GAP_CONNECTIONS moved to net/feed_gaps.py.

--- a/onyxwick/lab/machines.py
+++ b/onyxwick/lab/machines.py
@@ -340,7 +340,7 @@
                 for line in self.events[last:]:
                     writer.write(line)
                 last = max(last, len(self.events))
-                writer.write(b"%d\n" % len(self.events))
+                writer.write(b'{"index":%d}\n' % len(self.events))
                 await writer.drain()
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(changed.wait(), 1.0)
--- a/onyxwick/net/coordinator_feed.py
+++ b/onyxwick/net/coordinator_feed.py
@@ -24,13 +24,16 @@
 from onyxwick.counters import Counters
 from onyxwick.net.buffer import ReceiveBuffer
 from onyxwick.net.errors import EventApplyError, FeedConnectionError
+from onyxwick.net.feed_gaps import MissingEvents
 from onyxwick.net.feed_lines import (
     QUOTED_LINE_BYTES,
+    is_last_index_alone,
     max_line_bytes,
     max_parsed_bytes,
     parsed_bytes,
     peek_index,
     read_index,
+    read_last_index,
 )
 from onyxwick.net.feed_race import SILENCE_LIMIT_S, FeedRace
 from onyxwick.net.feed_report import FeedReport
@@ -48,8 +51,6 @@
 LINE_LIMIT_S = 10.0
 """Time limit for one line whose bytes keep arriving, such as a complete list on a slow connection."""
 MAX_LINE_LIMIT_DOUBLINGS = 4
-MAX_GAP_CONNECTIONS = 4
-"""An event that is missing on this many consecutive connections is skipped."""
 MAX_APPLY_ATTEMPTS = 3
 """An event that could not be applied in this many attempts is skipped, as the feed must progress."""
 FIRST_RETRY_US = 100_000
@@ -100,8 +101,8 @@
         self.line_limit = DoublingTimeout(LINE_LIMIT_S, MAX_LINE_LIMIT_DOUBLINGS)
         self.stamps = FeedTimestamps()
         self.report = FeedReport(core)
+        self.missing = MissingEvents(counters)
         self.apply_failures = 0  # failed attempts to apply the next event
-        self.gap_connections = 0  # consecutive connections on which the next event was missing
         self._silence_limit: asyncio.Timeout | None = None  # of the current connection
         core.guard.read_pending_feed = self.catch_up
 
@@ -178,11 +179,11 @@
             return
         try:
             document = ujson.loads(text)
-            if isinstance(document, dict):
+            if is_last_index_alone(document):
+                self._on_announced_index(read_last_index(document))
+            elif isinstance(document, dict):
                 self._check_sequence(read_index(document[INDEX]))
                 self.apply(document)
-            elif isinstance(document, int):
-                self._on_announced_index(read_index(document))
             else:
                 self.report_bad_input(f"line is neither an index nor an event: {text[:QUOTED_LINE_BYTES]!r}")
         except MALFORMED_EVENT_ERRORS as error:
@@ -200,28 +201,26 @@
             self.report.applied(self.last_index)
 
     def _check_sequence(self, index: int) -> None:
-        """Raise FeedConnectionError if events are missing: a new connection requests them again.
+        """Raise FeedConnectionError if events before this one are missing, or skip them."""
+        if index > self.last_index + 1:
+            self._skip_missing(index)
+        self.missing.connections = 0
 
-        Events that are missing on `MAX_GAP_CONNECTIONS` consecutive connections are skipped, as the feed must
-        progress.
-        """
-        if index <= self.last_index + 1:
-            self.gap_connections = 0
-            return
-        self.gap_connections += 1
-        if self.gap_connections < MAX_GAP_CONNECTIONS:
-            raise FeedConnectionError(f"received event {index}, expected {self.last_index + 1}")
-        self.counters.add("error.gap")
-        log.error("missing feed events skipped", first=self.last_index + 1, next=index)
-        self.gap_connections = 0
-        self.last_index = index - 1
+    def _skip_missing(self, next_index: int) -> None:
+        self.missing.skip(self.last_index + 1, next_index)
+        self.last_index = next_index - 1
+        self.report.applied(self.last_index)
 
     def _on_announced_index(self, index: int) -> None:
-        """Record the feed's last index. Raises FeedConnectionError if an announced event was not received."""
+        """Record the feed's last index.
+
+        Raises FeedConnectionError if an event was not received that an earlier line announced.
+        """
         if self.last_index < self.announced_index:
-            raise FeedConnectionError(f"event {self.announced_index} was announced but not received")
+            self._skip_missing(self.announced_index + 1)
         self.announced_index = index
         if self.last_index >= index:
+            self.missing.connections = 0
             self.stamps.mark_caught_up(self.core.now())
         self.report.announced(index, self.last_index)
 
--- a/onyxwick/net/feed_lines.py
+++ b/onyxwick/net/feed_lines.py
@@ -8,6 +8,8 @@
 import re
 from typing import Any
 
+from onyxwick.net.feed_wire import INDEX
+
 MAX_LINE_BYTES = 4_194_304
 LINE_SHARE = 1 / 4
 """A line may take this share of the memory account, if that is less than `MAX_LINE_BYTES`."""
@@ -47,6 +49,18 @@
     return index
 
 
+def is_last_index_alone(document: object) -> bool:
+    """Return whether a line has the feed's last index and no event: a number, or an object of it alone."""
+    if isinstance(document, dict):
+        return document.keys() == {INDEX}
+    return isinstance(document, int)
+
+
+def read_last_index(document: Any) -> int:
+    """Return the index of a line that has the last index alone. Raises as `read_index`."""
+    return read_index(document[INDEX] if isinstance(document, dict) else document)
+
+
 def peek_index(head: bytes) -> int | None:
     """Return the index of an event from the first bytes of its line; None if they do not have it."""
     match = _match_index(head)
--- a/tests/test_coordinator_feed.py
+++ b/tests/test_coordinator_feed.py
@@ -14,7 +14,7 @@
 from onyxwick.core.endpoints import EndpointTable
 from onyxwick.counters import Counters
 from onyxwick.interface import AttemptStatus
-from onyxwick.net import coordinator_feed, resp
+from onyxwick.net import coordinator_feed, feed_gaps, resp
 from onyxwick.net.cache_pool import CacheConnectionPool
 from onyxwick.net.coordinator_feed import FIRST_RETRY_US, MAX_RETRY_US, CoordinatorFeed
 from onyxwick.net.listening import listen
@@ -104,9 +104,9 @@
     async def scenario(harness: DirectorHarness) -> None:
         subscription = CoordinatorFeed(harness.core, harness.counters)
         event = json.dumps({"index": 2, "evict": {"ref": "b" * 16, "unix_ms": 1}}).encode()
-        for connection in range(coordinator_feed.MAX_GAP_CONNECTIONS):
+        for connection in range(feed_gaps.MAX_GAP_CONNECTIONS):
             subscription.handle_line(b'{"index":1,"evi')
-            if connection < coordinator_feed.MAX_GAP_CONNECTIONS - 1:
+            if connection < feed_gaps.MAX_GAP_CONNECTIONS - 1:
                 with pytest.raises(OSError):
                     subscription.handle_line(event)
         subscription.handle_line(event)
@@ -228,3 +228,32 @@
     one, two = asyncio.run(scenario())
     assert one != two  # directors that lost the feed at the same time do not reconnect at the same time
     assert all(row[0] <= FIRST_RETRY_US and max(row) <= MAX_RETRY_US for row in (one, two))
+
+
+# Guards against: the last index alone is taken for the event of that index, which is then never applied.
+@pytest.mark.parametrize("announced", [b'{"index":1}', b"1"])
+def test_an_event_is_applied_although_its_index_was_announced_before(announced: bytes) -> None:
+    async def scenario(harness: DirectorHarness) -> None:
+        feed = CoordinatorFeed(harness.core, harness.counters)
+        feed.handle_line(announced)
+        assert feed.last_index == 0 and feed.announced_index == 1
+        feed.handle_line(_list_line(1, 3))
+        assert set(harness.members.listed) == {"c0", "c1", "c2"} and feed.last_index == 1
+
+    run_scenario(scenario)
+
+
+# Guards against: a feed that announces an event and never sends it is connected to anew for ever.
+def test_an_announced_event_that_never_comes_is_skipped() -> None:
+    async def scenario(harness: DirectorHarness) -> None:
+        feed = CoordinatorFeed(harness.core, harness.counters)
+        for connection in range(feed_gaps.MAX_GAP_CONNECTIONS):
+            feed.announced_index = 0  # as at the start of each connection
+            feed.handle_line(b'{"index":1}')
+            if connection < feed_gaps.MAX_GAP_CONNECTIONS - 1:
+                with pytest.raises(OSError):
+                    feed.handle_line(b'{"index":1}')
+        feed.handle_line(b'{"index":1}')
+        assert feed.last_index == 1 and harness.counters.counts["error.gap"] == 1
+
+    run_scenario(scenario)
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -78,6 +78,7 @@
     "onyxwick.net.coordinator_feed",
     "onyxwick.net.errors",
     "onyxwick.net.fastcgi",
+    "onyxwick.net.feed_gaps",
     "onyxwick.net.feed_lines",
     "onyxwick.net.feed_report",
     "onyxwick.net.feed_race",
