Requests wait for the feed where the list may be older than the grace of a drain

Callers saw: in the first second after a start, and after a lost feed, new work went to servers that drained or were gone, and named them as sources. Cause: a director acted on what it knew without knowing how old that was; ready meant that a list was loaded, not that the feed had confirmed it. Once it has expired, arrivals and attempts wait (core/feed_gate.py, request_runner.py), the guard lets nothing out at the first byte, and /ping and the readiness call say no at a start. A request that waits keeps its own time and is rejected in it (reason feed).

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -84,7 +84,9 @@
         self.stalls = StallDetector(time.monotonic())
         self.freshness = FeedFreshness()
         self.freshness.on_change = self._record_feed_state
-        self.guard = SendGuard(settings, endpoints, self.stalls, self.now, self.client_departed)
+        self.guard = SendGuard(
+            settings, endpoints, self.stalls, self.now, self.client_departed, self.freshness
+        )
         self.invariants = Invariants(settings, partial(report_violation, counters), self._mean_transfer_us)
         self.context = EngineContext(
             settings,
--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -97,6 +97,11 @@
         confirmed_at_us = self._last_confirmed_us(now_us)
         return None if confirmed_at_us is None else max(0, now_us - confirmed_at_us)
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether the longest wait is over, and nothing has confirmed the list since."""
+        return self._overdue_until_current
+
     def is_confirmed(self) -> bool:
         """Return whether a feed confirms the list at present, or none is followed."""
         return self.state in (FeedState.NOT_FOLLOWED, FeedState.CURRENT)
--- a/onyxwick/core/feed_gate.py
+++ b/onyxwick/core/feed_gate.py
@@ -14,6 +14,10 @@
 
 US_PER_S = 1e6
 MIN_TIMER_US = 1000
+RELEASE_SHARE = 1 / 2
+"""Requests that waited go on within this share of the time in which they gathered. All at once, they would
+exceed the concurrency limits of caches that can well serve them one after the other."""
+MAX_RELEASE_US = 500_000
 
 
 class FeedGate:
@@ -24,6 +28,7 @@
         self.now = now
         self.counters = counters
         self._waiting: list[Callable[[], None]] = []
+        self._first_waiting_at_us = 0
         self._timer: asyncio.TimerHandle | None = None
         freshness.on_usable = self._open
 
@@ -34,6 +39,8 @@
     def call_when_open(self, callback: Callable[[], None]) -> None:
         """Call `callback` once, as soon as requests may be sent."""
         self.counters.add("feed.waited")
+        if not self._waiting:
+            self._first_waiting_at_us = self.now()
         self._waiting.append(callback)
         if self._timer is None:
             self._set_timer()
@@ -55,5 +62,10 @@
             self._timer.cancel()
             self._timer = None
         waiting, self._waiting = self._waiting, []
-        for callback in waiting:
-            callback()
+        if not waiting:
+            return
+        gathered_us = self.now() - self._first_waiting_at_us
+        step_s = min(MAX_RELEASE_US, int(gathered_us * RELEASE_SHARE)) / len(waiting) / US_PER_S
+        loop = asyncio.get_running_loop()
+        for place, callback in enumerate(waiting):
+            loop.call_later(place * step_s, callback)
--- a/onyxwick/core/reasons.py
+++ b/onyxwick/core/reasons.py
@@ -28,6 +28,8 @@
     FAILED_BY_ROUTER = "failed"
     """The router failed the request, because it may have been executed."""
     DEADLINE_EXCEEDED = "overdue"
+    FEED_UNCONFIRMED = "feed"
+    """The request's time was over while it waited for the coordinator's feed; it was never sent."""
     REJECTED_IN_SHUTDOWN = "passed_on"
     """The request arrived on a connection that is about to close. The client may retry on another."""
     MEMORY_LIMIT = "memory"
--- a/onyxwick/core/request_lifecycle.py
+++ b/onyxwick/core/request_lifecycle.py
@@ -49,7 +49,25 @@
     """The client may retry, so the request is rejected. Otherwise it is failed."""
 
 
-LifecycleMessage = Action | AttemptDecided | AttemptFinished | ClientDeparted | RequestReleased
+@dataclass(slots=True)
+class FeedUsable:
+    """The list may be sent on again, for which the request waited."""
+
+
+@dataclass(slots=True)
+class FeedWaitExpired:
+    """The request's time is almost over, and it still waits for the feed before its first attempt."""
+
+
+LifecycleMessage = (
+    Action
+    | AttemptDecided
+    | AttemptFinished
+    | ClientDeparted
+    | RequestReleased
+    | FeedUsable
+    | FeedWaitExpired
+)
 
 
 class Mailbox:
@@ -94,5 +112,11 @@
     answered: bool = False
     intent_recorded: bool = False
     """The store has durably recorded that the request will be sent."""
+    is_waiting_for_feed: bool = False
+    """`FeedUsable` follows."""
+    arrival_is_held: bool = False
+    """The router has not been notified of the request, as the list is too old to decide on."""
+    held_attempts: list[AttemptDecided] = field(default_factory=list)
+    """Attempts that wait for the feed, in the order of their indices, after those in `attempts`."""
     transport: CacheTransport | None = None
     """Transport that a front passed in for this request; None to use the engine's."""
--- a/onyxwick/core/request_runner.py
+++ b/onyxwick/core/request_runner.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from onyxwick import logs
 from onyxwick.core.attempt_runner import AttemptRunner
@@ -19,6 +20,8 @@
     AttemptDecided,
     AttemptFinished,
     ClientDeparted,
+    FeedUsable,
+    FeedWaitExpired,
     RequestLifecycle,
     RequestReleased,
 )
@@ -35,6 +38,8 @@
 log = logs.get()
 DEADLINE_GRACE_US = 20_000
 """A request is failed this long after its deadline if the router has not ended it."""
+FEED_REPLY_MARGIN_US = 50_000
+"""A request that waits for the feed is rejected this long before its deadline, to answer in time."""
 
 
 class RequestRunner:
@@ -108,15 +113,19 @@
             ClientDeparted(deadline_exceeded=True),
         )
         try:
-            context.handle(self._arrival(request, deadline_us))
+            self._arrive(lifecycle)
             while True:
                 match message := await lifecycle.mailbox.get():
                     case AttemptDecided():
-                        if self.table.needs_intent(lifecycle):
-                            await self._record_intent(lifecycle)
-                        self.attempts.start(lifecycle, message)
+                        await self._start_attempt(lifecycle, message)
+                    case FeedUsable():
+                        await self._resume(lifecycle)
+                    case FeedWaitExpired():
+                        if lifecycle.arrival_is_held:
+                            self._reject(request, UnservedReason.FEED_UNCONFIRMED)
+                            return FinalAnswer(AnswerStatus.REJECTED)
                     case CancelAttempt(_, attempt_index):
-                        self.attempts.cancel(lifecycle, attempt_index)
+                        self._cancel_attempt(lifecycle, attempt_index)
                     case AttemptFinished(outcome=outcome):
                         self.attempts.report(lifecycle, message)
                         if outcome.status is AttemptStatus.OK:
@@ -126,7 +135,57 @@
         finally:
             deadline_timer.cancel()
 
-    def _arrival(self, request: ClientRequest, deadline_us: int) -> RequestArrived:
+    # ---- waiting for the feed ----------------------------------------------------------------------------
+
+    def _arrive(self, lifecycle: RequestLifecycle) -> None:
+        """Notify the router of the request, now or as soon as the list may be decided on."""
+        request = lifecycle.request
+        if self.context.feed_gate.is_open():
+            self.context.handle(self._arrival(request))
+            return
+        lifecycle.arrival_is_held = True
+        self._wait_for_feed(lifecycle)
+        left_us = request.arrived_us + request.timeout_us - self.context.now()
+        asyncio.get_running_loop().call_later(
+            max(0, left_us - FEED_REPLY_MARGIN_US) / 1e6, lifecycle.mailbox.put, FeedWaitExpired()
+        )
+
+    async def _start_attempt(self, lifecycle: RequestLifecycle, decided: AttemptDecided) -> None:
+        """Start an attempt, or hold it while the list may not be sent on."""
+        if lifecycle.held_attempts or not self.context.feed_gate.is_open():
+            lifecycle.held_attempts.append(decided)
+            self._wait_for_feed(lifecycle)
+            return
+        if self.table.needs_intent(lifecycle):
+            await self._record_intent(lifecycle)
+        self.attempts.start(lifecycle, decided)
+
+    def _wait_for_feed(self, lifecycle: RequestLifecycle) -> None:
+        if not lifecycle.is_waiting_for_feed:
+            lifecycle.is_waiting_for_feed = True
+            self.context.feed_gate.call_when_open(partial(lifecycle.mailbox.put, FeedUsable()))
+
+    async def _resume(self, lifecycle: RequestLifecycle) -> None:
+        """Go on with what waited for the feed. The list may have expired again in the meantime."""
+        lifecycle.is_waiting_for_feed = False
+        if not self.context.feed_gate.is_open():
+            self._wait_for_feed(lifecycle)
+            return
+        if lifecycle.arrival_is_held:
+            lifecycle.arrival_is_held = False
+            self.context.handle(self._arrival(lifecycle.request))
+        held, lifecycle.held_attempts = lifecycle.held_attempts, []
+        for decided in held:
+            await self._start_attempt(lifecycle, decided)
+
+    def _cancel_attempt(self, lifecycle: RequestLifecycle, attempt_index: int) -> None:
+        """Cancel an attempt. A held one is withdrawn with those before it, as their indices are in order."""
+        while lifecycle.held_attempts and attempt_index >= len(lifecycle.attempts):
+            self.attempts.withdraw(lifecycle, lifecycle.held_attempts.pop(0))
+        self.attempts.cancel(lifecycle, attempt_index)
+
+    def _arrival(self, request: ClientRequest) -> RequestArrived:
+        deadline_us = request.arrived_us + request.timeout_us
         return RequestArrived(
             request_id=request.request_id,
             class_name=request.class_name,
@@ -189,6 +248,8 @@
 
     async def _finish_attempts(self, lifecycle: RequestLifecycle) -> None:
         """Wait, after the final answer, for the attempts in flight, and report the end of each."""
+        for decided in lifecycle.held_attempts:
+            self.attempts.withdraw(lifecycle, decided)
         while any(lifecycle.attempts) or lifecycle.mailbox.messages:
             match message := await lifecycle.mailbox.get():
                 case AttemptDecided():
--- a/onyxwick/core/send_guard.py
+++ b/onyxwick/core/send_guard.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from onyxwick.core.endpoints import DecisionSnapshot, EndpointTable
+from onyxwick.core.feed_freshness import FeedFreshness
 from onyxwick.core.request_lifecycle import RequestLifecycle
 from onyxwick.core.stall_detector import StallDetector
 from onyxwick.interface import Idempotency, RouterSettings
@@ -33,11 +34,13 @@
         stalls: StallDetector,
         now: Callable[[], int],
         on_client_departed: Callable[[RequestLifecycle], None],
+        freshness: FeedFreshness,
     ) -> None:
         self.endpoints = endpoints
         self.stalls = stalls
         self.now = now
         self.on_client_departed = on_client_departed
+        self.freshness = freshness
         self.classes = {request_class.name: request_class for request_class in settings.classes}
         self.key_window_margin_us = KEY_WINDOW_MARGIN_TICKS * settings.tick_us
         self.read_pending_feed: Callable[[], None] | None = None
@@ -53,11 +56,13 @@
     ) -> bool:
         """Return whether an attempt may be sent.
 
-        The client must still wait, a retry must be safe, and the member and its source must still accept it.
+        The list must be recent enough to send on, the client must still wait, a retry must be safe, and the
+        member and its source must still accept it.
         """
         self._read_feed_after_stall()
         if (
-            lifecycle.client_departed
+            not self.freshness.may_send(self.now())
+            or lifecycle.client_departed
             or lifecycle.answered
             or not self.is_retry_permitted(lifecycle, attempt_index)
         ):
--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -25,6 +25,7 @@
 from onyxwick.config.director import BYTES_PER_MB, DirectorConfig
 from onyxwick.config.errors import ConfigUnreadableError
 from onyxwick.core import RequestEngine
+from onyxwick.core.clock import steady_us
 from onyxwick.core.endpoints import EndpointTable
 from onyxwick.core.memory_account import MemoryAccount
 from onyxwick.core.phase import PHASE_TRANSITIONS, DirectorPhase, IllegalPhaseChangeError, Readiness
@@ -142,7 +143,8 @@
         answered; the phase changes one iteration of the event loop later.
         """
         is_serving = self.phase in (DirectorPhase.SERVING, DirectorPhase.DRAINED)
-        return is_serving and self.endpoints.loaded and not self._is_drained()
+        is_fresh = self.engine.freshness.is_ready(steady_us())
+        return is_serving and is_fresh and self.endpoints.loaded and not self._is_drained()
 
     def readiness(self) -> Readiness:
         """Return the answer to a readiness call; may be called from the operations endpoint's thread."""
