Soak: hoarding clients begin nothing while transfers move one byte, as other extra clients

While the shim lets each transfer of a director move one byte, its extra clients pause, as their load is more than any director bears then; the hoarding clients did not. Change: they pause, as the others do.

--- a/onyxwick/lab/soak/hoard_acts.py
+++ b/onyxwick/lab/soak/hoard_acts.py
@@ -60,8 +60,10 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _hoard(self, director: SoakDirector, data: bytes) -> None:
+        """Hoard on one connection after the other. As the other extra clients, one begins none while each
+        transfer moves a single byte."""
         while True:
-            if director.takes_connections:
+            if director.takes_connections and not director.transfers_single_bytes:
                 with contextlib.suppress(OSError):
                     await self._send_and_hold(director.listen, data)
             await asyncio.sleep(REST_S)
