A publisher takes the last number alone as an announcement, not as an event

Callers saw: nothing yet; found by looking for the class of the last index. A publisher that follows the platform's coordinator read {"index":N} as event N with an unknown payload, so that an announcement before its event dropped the event for every director of the tree. Change: an object with nothing but its index is an Announcement, like the number. Failure before: test_the_last_number_alone_is_an_announcement_in_both_forms (FeedEvent instead).

--- a/onyxwick/distribution/codec.py
+++ b/onyxwick/distribution/codec.py
@@ -57,6 +57,8 @@
     if not isinstance(value, dict) or not _is_integer(value.get("index")):
         raise MalformedLineError("feed line is neither an integer nor an object with an integer 'index'")
     cursor = Cursor.unpack(value["index"])
+    if value.keys() == {"index"}:
+        return Announcement(cursor)  # as the platform's coordinator writes its last number
     if "published_ms" in value:
         return _read_freshness(cursor, value["published_ms"])
     if "snapshot" in value:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -29,6 +29,7 @@
 )
 from onyxwick.distribution.model import (
     MAX_DOCUMENT_BYTES,
+    Announcement,
     CacheListChange,
     CacheRow,
     Cursor,
@@ -83,6 +84,12 @@
     assert follower.on_connected(START) == (SendLine(b"follow %d\n" % Cursor(HISTORY, 6).packed),)
 
 
+# Guards against: a publisher takes the coordinator's last number alone for the event of that number.
+def test_the_last_number_alone_is_an_announcement_in_both_forms() -> None:
+    for line in (b"41\n", b'{"index":41}\n'):
+        assert codec.decode(line) == Announcement(Cursor.unpack(41))
+
+
 def test_an_announced_event_that_does_not_arrive_ends_the_connection() -> None:
     follower = connected_follower()
     assert follower.on_line(START, codec.encode_announcement(Cursor(HISTORY, 7))) == ()
