--- a/tests/test_feed_race.py
+++ b/tests/test_feed_race.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import time
+from contextlib import ExitStack
 from typing import Any
 
 import pytest
@@ -20,7 +21,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_limits(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(feed_race, "SILENCE_LIMIT_S", SILENCE_S)
+    monkeypatch.setattr(feed_race, "FIRST_LINE_LIMIT_S", SILENCE_S)
     monkeypatch.setattr(feed_race, "CONNECT_LIMIT_S", SILENCE_S / 2)
 
 
@@ -154,3 +155,45 @@
         feed.close()
 
     uvloop.run(asyncio.wait_for(play(), 20 * SILENCE_S))
+
+
+# Guards against: connection requests that a full queue dropped are waited for until the system repeats them.
+def test_a_coordinator_whose_queue_was_full_is_joined_soon_after_it_has_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(feed_race, "CONNECT_LIMIT_S", 0.8)
+    drain_grace_s = 0.5
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as listener, ExitStack() as fillers:
+            listener.setblocking(False)
+            for _ in range(4):
+                filler = fillers.enter_context(socket.socket())
+                filler.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    filler.connect(listener.getsockname())
+            race = loop.create_task(FeedRace(listener.getsockname(), lambda: GREETING).run())
+            await asyncio.sleep(1.05)  # the first request was just repeated, and dropped again
+            assert not race.done()
+            listener.listen(64)
+            freed_s = time.monotonic()
+            while True:
+                connection, _ = await loop.sock_accept(listener)
+                fillers.enter_context(connection)
+                if await _first_bytes(connection) == GREETING:
+                    break
+            connection.send(b"7\n")
+            (await race).close()
+            assert time.monotonic() - freed_s < drain_grace_s
+
+    uvloop.run(asyncio.wait_for(play(), 10))
+
+
+async def _first_bytes(connection: socket.socket) -> bytes:
+    """Return what a connection sends at once; empty if it sends nothing."""
+    try:
+        async with asyncio.timeout(0.02):
+            return await asyncio.get_running_loop().sock_recv(connection, 64)
+    except TimeoutError:
+        return b""
