A lost feed is retried each 0.2 s at most, within the grace of a drain

Callers saw: requests that waited up to a second for a feed that was lost, or before this work sends on an old list, as its retries were up to 1 s apart while an event binds 0.5 s after a coordinator's return. Cause: the backoff doubled up to MAX_RETRY_US = 1 s. Change: 0.2 s. A refused or closed connection costs little on either side; the draws stay random, so that directors do not retry together.

--- a/onyxwick/net/coordinator_feed.py
+++ b/onyxwick/net/coordinator_feed.py
@@ -58,8 +58,8 @@
 
 The bound doubles with each attempt, and the wait is drawn at random below it.
 """
-MAX_RETRY_US = 1_000_000
-"""Longest wait. With the limits for a connect and for silence, the feed is restored well within 4 s."""
+MAX_RETRY_US = 200_000
+"""Longest wait. A coordinator that returns may be notified of a drain at once, which binds 0.5 s later."""
 LINE_HANDLING_LIMIT_S = 0.005
 """Time for handling lines in one turn of the event loop. A long list in one line may exceed it."""
 CATCH_UP_LIMIT_S = 0.25
