Tests on real directors: nine more ways to an old list, at starts and while running

Each has a real director, emulated caches and a scripted coordinator: first connections that are reset, say nothing or write in pieces, a full queue, no coordinator, a stop beside a lost feed, an event in pieces, a reload to a late coordinator.

--- a/tests/freshness_director.py
+++ b/tests/freshness_director.py
@@ -34,6 +34,7 @@
 REQUEST_INTERVAL_S = 0.01
 OBJECTS = 400
 HEARTBEAT_S = 1.0
+QUEUE_FILLERS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,12 +60,29 @@
         self.connections: list[socket.socket] = []
         self.address = free_address()
         self.listener: socket.socket | None = None
+        self.fillers: list[socket.socket] = []  # connections that keep the queue full
 
     def listen(self, backlog: int = 512) -> None:
         """Accept connections from now on."""
         self.listener = socket.create_server(self.address, backlog=backlog)
         threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
 
+    def listen_with_full_queue(self) -> None:
+        """Accept nothing, and have the system drop connection requests; `listen_again` ends it."""
+        self.listener = socket.create_server(self.address, backlog=0)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(self.address)
+            self.fillers.append(filler)
+
+    def listen_again(self) -> None:
+        """Make room in the queue and accept connections from now on."""
+        assert self.listener is not None
+        self.listener.listen(512)
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
+
     def stop_listening(self) -> None:
         """Refuse connections from now on, and close those that are open."""
         if self.listener is not None:
@@ -75,7 +93,10 @@
         for connection in self.connections:
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
+        for sock in (*self.connections, *self.fillers):
+            sock.close()
         self.connections.clear()
+        self.fillers.clear()
 
     def _accept(self, listener: socket.socket) -> None:
         with contextlib.suppress(OSError):
@@ -92,13 +113,17 @@
                 self.script(self, connection, number)
             self.follow(connection, read_follow(connection))
 
+    def lines_after(self, index: int) -> bytes:
+        """Return the events after an index and the last index, as one connection gets them."""
+        return b"".join([*self.events[index - 1 :], last_index_line(1 + len(self.events))])
+
     def follow(self, connection: socket.socket, index: int) -> None:
         """Send the events after an index and the last index, and go on with what comes."""
         while True:
             with self.changed:
-                lines = [*self.events[index - 1 :], last_index_line(1 + len(self.events))]
+                lines = self.lines_after(index)
                 index = 1 + len(self.events)
-            connection.sendall(b"".join(lines))
+            connection.sendall(lines)
             with self.changed:
                 if index == 1 + len(self.events):
                     self.changed.wait(HEARTBEAT_S)
@@ -243,6 +268,13 @@
                 stderr=log,
             )
 
+    def move_to(self, coordinator: Coordinator) -> None:
+        """Have the director read its configuration again, in which another coordinator is named."""
+        self.coordinator.stop_listening()
+        self.coordinator = coordinator
+        (self.folder / "config.json").write_text(json.dumps(self._configuration()))
+        self.signal(signal.SIGHUP)
+
     def wait_ready(self) -> float:
         """Wait until a ping is answered with 200, as the front does. Return the seconds since the start."""
         assert self.process is not None
--- a/tests/test_feed_freshness_processes.py
+++ b/tests/test_feed_freshness_processes.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import signal
 import socket
+import struct
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
-from threading import Thread
+from threading import Thread, Timer
+
+import pytest
 
 from tests.freshness_director import (
     Coordinator,
@@ -19,6 +23,8 @@
 
 Script = Callable[[Coordinator, socket.socket, int], None]
 DRAINED = ("c0", "c1", "c2", "p0")
+READY_LIMIT_S = 3.0
+RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER with which a close sends a reset
 
 
 def _first_line_late(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
@@ -49,6 +55,135 @@
             assert director.client.served == director.client.sent
 
 
+def _send_in_pieces(connection: socket.socket, data: bytes, pause_s: float) -> None:
+    """Send in ten pieces with a pause after each."""
+    size = len(data) // 10
+    for at in range(0, len(data), size):
+        connection.sendall(data[at : at + size])
+        time.sleep(pause_s)
+
+
+def _reset_first(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
+    if number < 3:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        connection.close()
+
+
+def _silent_first(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
+    if number == 0:
+        time.sleep(10.0)
+
+
+def _first_line_in_pieces(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
+    index = read_follow(connection)
+    _send_in_pieces(connection, coordinator.lines_after(index), 0.1)
+    coordinator.follow(connection, 1 + len(coordinator.events))
+
+
+# Guards against: a first connection to the feed that fails, says nothing or is slow lets a start serve on its
+# configuration's list past the grace of a drain, or keeps it from being ready.
+@pytest.mark.parametrize("script", [_reset_first, _silent_first, _first_line_in_pieces])
+def test_a_start_whose_first_connection_to_the_feed_is_faulty_keeps_the_grace(
+    script: Script, tmp_path: Path
+) -> None:
+    coordinator = Coordinator(script)
+    coordinator.listen()
+    with freshness_director(tmp_path, coordinator) as director:
+        coordinator.drain(*DRAINED)
+        director.start()
+        assert director.wait_ready() < READY_LIMIT_S
+        director.client.send_for(1.5)
+        assert director.late_sends() == []
+        assert director.client.served == director.client.sent
+
+
+# Guards against: a start serves on an old list while its connection to the coordinator is not established.
+def test_a_start_beside_a_coordinator_with_a_full_queue_keeps_the_grace(tmp_path: Path) -> None:
+    coordinator = Coordinator()
+    coordinator.listen_with_full_queue()
+    with freshness_director(tmp_path, coordinator) as director:
+        coordinator.drain(*DRAINED)
+        director.start()
+        Timer(1.6, coordinator.listen_again).start()
+        assert director.wait_ready() < READY_LIMIT_S
+        director.client.send_for(1.5)
+        assert director.late_sends() == []
+        assert director.client.served == director.client.sent
+
+
+# Guards against: a director without a coordinator is not ready in time, or refuses what it could serve.
+@pytest.mark.parametrize("is_refused", [True, False])
+def test_a_start_without_a_coordinator_is_ready_in_time_and_serves(is_refused: bool, tmp_path: Path) -> None:
+    coordinator = Coordinator()
+    if not is_refused:
+        coordinator.listen_with_full_queue()
+    with freshness_director(tmp_path, coordinator) as director:
+        director.start()
+        assert director.wait_ready() < READY_LIMIT_S
+        director.client.send_for(3.0)
+        assert director.client.served == director.client.sent
+
+
+# Guards against: a director that stood still while its feed was lost sends on its old list as it wakes.
+def test_a_director_stopped_while_its_feed_is_lost_keeps_the_grace(tmp_path: Path) -> None:
+    coordinator = Coordinator()
+    coordinator.listen()
+    with freshness_director(tmp_path, coordinator) as director:
+        director.start()
+        director.wait_ready()
+        director.client.send_for(0.3)
+        director.signal(signal.SIGSTOP)
+        coordinator.stop_listening()
+        coordinator.drain(*DRAINED)
+        for _ in range(20):  # these stand in the sockets when the director wakes
+            director.client.send()
+        time.sleep(1.0)
+        coordinator.listen()
+        director.signal(signal.SIGCONT)
+        director.client.send_for(1.0)
+        assert director.late_sends() == []
+        assert director.client.served == director.client.sent
+
+
+# Guards against: an event that comes to a running director in pieces counts as nothing new until it is whole.
+def test_an_event_in_pieces_on_a_running_feed_keeps_the_grace(tmp_path: Path) -> None:
+    def in_pieces(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
+        read_follow(connection)
+        connection.sendall(last_index_line(1))
+        with coordinator.changed:
+            coordinator.changed.wait(10.0)
+        _send_in_pieces(connection, coordinator.lines_after(1), 0.1)
+        coordinator.follow(connection, 1 + len(coordinator.events))
+
+    coordinator = Coordinator(in_pieces)
+    coordinator.listen()
+    with freshness_director(tmp_path, coordinator) as director:
+        director.start()
+        director.wait_ready()
+        director.client.send_for(0.3)
+        coordinator.drain(*DRAINED)
+        director.client.send_for(2.0)
+        assert director.late_sends() == []
+        assert director.client.served == director.client.sent
+
+
+# Guards against: a reload that moves the feed to another coordinator sends on while that one is late.
+def test_a_reload_to_a_late_coordinator_keeps_the_grace(tmp_path: Path) -> None:
+    coordinator = Coordinator()
+    coordinator.listen()
+    late = Coordinator(_first_line_late)
+    late.listen()
+    with freshness_director(tmp_path, coordinator) as director:
+        director.start()
+        director.wait_ready()
+        director.client.send_for(0.3)
+        director.move_to(late)
+        late.drain(*DRAINED)
+        director.client.send_for(2.0)
+        assert director.late_sends() == []
+        assert director.client.served == director.client.sent
+
+
 # Guards against: the feed's last index alone is taken for the event of that index, which is never applied.
 def test_the_last_index_alone_is_not_taken_for_its_event(tmp_path: Path) -> None:
     def index_before_event(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
