The tests' stand-ins of the coordinator tell the last index at once, as the platform's does

Cause: a director is ready once its feed has confirmed the list; the stand-ins of the recorded exchanges and of the limited director accepted no connection, so that each start waited its 2.5 s and pings in the exchanges met a no. Change: they send the last index as the platform's coordinator does on each connection.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -13,11 +13,15 @@
 - `program upgrade -` starts a successor on the inherited listening socket and waits until it serves.
 - `program term -` sends SIGTERM to the oldest process, waits for its clean exit, and leaves the successor.
 
+The coordinator's first line, which confirms the list of the configuration, is sent before the first step and
+to a successor.
+
 `WHO` is `client`, `dns` (UDP), `tcp` (DNS over TCP), `admin`, `operations` (the operations endpoint, in files
 `operations_*` and `handed_*`), `next` (the operations endpoint of the successor), `coordinator`, `moved` (the
 address that the feed can move to) or the id of a member, whose stand-in listens on the address in the list. A
 further connection of the same kind has a suffix, such as `client.2`. BYTES is the inside of a Python bytes
-literal, in which `{n}` matches any number and `{id}` any two bytes. Each step waits for its event; no step
+literal, in which `{n}` matches any number, `{id}` any two bytes and `{text}` any text without braces.
+Each step waits for its event; no step
 waits for a fixed time.
 
 In files named `handed_*` the platform owns the clients' listening socket: the test creates the socket, and
@@ -99,6 +103,7 @@
         self.environment, self.predecessors = environment, list[subprocess.Popen[str]]()
         self.program = self._start()
         self._until(READY_LOG_LINES.get(service, "serving"))
+        self._confirm_list("coordinator")
 
     def _start(self) -> subprocess.Popen[str]:
         inherited_fds = () if self.shared_listener is None else (self.shared_listener.fileno(),)
@@ -128,6 +133,12 @@
                 return
         raise AssertionError(f"the program ended without a log line that contains {words!r}")
 
+    def _confirm_list(self, coordinator: str) -> None:
+        """Send the last index to a program that has just started, as a coordinator does at once."""
+        if self.config["coordinator"] == "{}:{}".format(*COORDINATOR):
+            self._peer(coordinator).sendall(b'{"index":%d}\n' % self.config["known"]["index"])
+            self._until('"now":"current"')
+
     def _peer(self, who: str) -> socket.socket:
         if who not in self.connections:
             kind = who.partition(".")[0]
@@ -145,6 +156,7 @@
     def _expect(self, who: str, pattern: bytes, line: str) -> None:
         sock, expected = self._peer(who), re.escape(pattern)
         expected = expected.replace(rb"\{n\}", rb"\d+").replace(rb"\{id\}", rb"(?s:..)")
+        expected = expected.replace(rb"\{text\}", rb"[^{}]*")
         while not (match := re.match(expected, self.received[who], re.DOTALL)):
             try:
                 more = sock.recv(65_536)
@@ -152,7 +164,7 @@
                 more = b""
             assert more, f"{line}\nreceived only {self.received[who]!r}"
             self.received[who] += more
-            plain = len(re.sub(rb"\{(n|id)\}", b"", pattern))
+            plain = len(re.sub(rb"\{(n|id|text)\}", b"", pattern))
             assert len(self.received[who]) <= plain + 64 or re.match(expected, self.received[who]), (
                 f"{line}\nreceived {self.received[who]!r}"
             )
@@ -188,7 +200,8 @@
             self.predecessors.append(self.program)
             self.environment["RELAY_ADMIN"] = f"{OPERATIONS[0]}:{OPERATIONS[1] + len(self.predecessors)}"
             self.program = self._start()
-            return self._until("serving")
+            self._until("serving")
+            return self._confirm_list(f"coordinator.{len(self.predecessors) + 1}")
         if what == "term":
             oldest = self.predecessors.pop(0)
             oldest.send_signal(signal.SIGTERM)
--- a/tests/limited_director.py
+++ b/tests/limited_director.py
@@ -80,6 +80,15 @@
         return address
 
 
+def confirm_list(listener: socket.socket) -> None:
+    """Tell the last index on a coordinator's first connection each second, until its end."""
+    with contextlib.suppress(OSError):
+        connection, _ = listener.accept()
+        while True:
+            connection.sendall(b'{"index":1}\n')
+            time.sleep(1.0)
+
+
 class LimitedDirector:
     """One real director process; `idle_bytes` is its anonymous memory before the first client."""
 
@@ -91,11 +100,14 @@
         reply: CacheReply = served,
         change: Callable[[dict[str, Any]], None] = lambda configuration: None,
         environment: dict[str, str] | None = None,
+        answers_feed: bool = True,
     ) -> None:
         self.folder = folder
         self.memory_mb = memory_mb
         self.cache = EmulatedCache(reply)
         self.feed = socket.create_server(("127.0.0.1", 0), backlog=64)
+        if answers_feed:
+            threading.Thread(target=confirm_list, args=(self.feed,), daemon=True).start()
         self.address = free_address()
         configuration = self._configuration(sockets)
         change(configuration)
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -169,7 +169,7 @@
         return random.Random(f"fuzz {next(numbers)}")
 
     background = _Background()
-    with limited_director(tmp_path, reply=_reply(next_random())) as director:
+    with limited_director(tmp_path, reply=_reply(next_random()), answers_feed=False) as director:
         for _ in range(CLIENTS):
             background.repeat(partial(_client, director, next_random()))
         background.repeat(partial(_follower, director.feed, next_random()))
