The wait for a lost feed counts from the first request that waits, without stops

Callers saw: nothing yet; found by reading the lease against SIGSTOP and silence. The bound on the wait counted from the last complete list: a connection that was given up after 2.2 s of silence, and a stop of over 1.4 s beside a lost feed, had it over at once, and requests went out on the old list. Change: the wait counts from the first request that may not be sent, and a stall of the process lengthens it (SendGuard tells it). Arrivals look at the feed's socket after a stall before they are decided, as attempts do.

--- a/onyxwick/core/engine.py
+++ b/onyxwick/core/engine.py
@@ -96,7 +96,7 @@
             self.now,
             self.handle,
             self.guard,
-            FeedGate(self.freshness, self.now, counters),
+            FeedGate(self.freshness, self.now, counters, self.guard.read_feed_after_stall),
             self.invariants,
             max_open_requests,
             _non_idempotent_classes(settings),
--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -25,8 +25,8 @@
 """Longest wait of a start for the feed: with the interpreter's own start, a director without a coordinator is
 ready within 3 s."""
 RECONNECT_WAIT_US = 1_000_000
-"""Longest wait of a running director's requests for a lost feed, after the lease: the time after which a lost
-connection request is sent again, and less than a client's timeout."""
+"""Longest wait of a running director's requests for a lost feed, from the first of them on: the time after
+which a lost connection request is sent again, and less than a client's timeout."""
 START_REFUSED_US = 500_000
 """A start accepts that the coordinator is not running once its connections were refused for this long. A
 coordinator that is only being restarted, and was told of an event before, is back by then."""
@@ -88,6 +88,7 @@
         self._announced_at_us = 0  # when the last index was announced up to which all events were applied
         self._unhandled_since_us: int | None = None  # while CURRENT: since when input waits to be applied
         self._refused_since_us: int | None = None
+        self._waiting_since_us: int | None = None  # since when requests wait, of a director that has started
         self._overdue_until_current = False
 
     # ---- questions ---------------------------------------------------------------------------------------
@@ -113,18 +114,19 @@
         age_us = self.age_us(now_us)
         if age_us is not None and age_us <= LIST_LEASE_US:
             return True
-        if now_us < self.wait_ends_at_us(now_us):
+        if self._waiting_since_us is None:
+            self._waiting_since_us = now_us
+        if now_us < self.wait_ends_at_us():
             return False
         self._overdue_until_current = True
         self._enter(FeedState.OVERDUE, "the longest wait is over", now_us)
         return True
 
-    def wait_ends_at_us(self, now_us: int) -> int:
-        """Return until when requests wait at most, once the lease has expired."""
-        confirmed_at_us = self._last_confirmed_us(now_us)
-        if confirmed_at_us is None:
+    def wait_ends_at_us(self) -> int:
+        """Return until when requests wait at most that may not be sent now."""
+        if self._confirmed_at_us is None:
             return self._started_at_us + START_WAIT_US
-        return confirmed_at_us + LIST_LEASE_US + RECONNECT_WAIT_US
+        return (self._waiting_since_us or 0) + RECONNECT_WAIT_US
 
     def is_ready(self, now_us: int) -> bool:
         """Return whether the start's wait for the feed is over, so that clients may come.
@@ -147,6 +149,12 @@
         self._started_at_us = now_us
         self._enter(FeedState.STARTING, "started", now_us)
 
+    def on_stall(self, stalled_us: int) -> None:
+        """Lengthen the wait by a time in which the process stood still, as the feed could bring nothing."""
+        self._started_at_us += stalled_us
+        if self._waiting_since_us is not None:
+            self._waiting_since_us += stalled_us
+
     def on_joined(self, now_us: int) -> None:
         """Record a connection that has brought its first bytes."""
         self._refused_since_us = None
@@ -165,7 +173,7 @@
         waited = now_us - self._unhandled_since_us > LIST_LEASE_US
         self._unhandled_since_us = None
         if self.state is FeedState.CURRENT:
-            self._overdue_until_current = False
+            self._end_wait()
             if waited:
                 self._notify_usable()
 
@@ -198,7 +206,7 @@
         if self._confirmed_at_us is None and now_us - self._refused_since_us < START_REFUSED_US:
             return
         self._confirmed_at_us = now_us
-        self._overdue_until_current = False
+        self._end_wait()
         self._enter(FeedState.ABSENT, "connection refused", now_us)
         self._notify_usable()
 
@@ -211,7 +219,7 @@
         self._confirmed_at_us = now_us
         self._unhandled_since_us = None
         self._refused_since_us = None
-        self._overdue_until_current = False
+        self._end_wait()
         self._notify_usable()
 
     def _leave_current(self, complete_at_us: int) -> None:
@@ -220,6 +228,10 @@
             complete_at_us = min(complete_at_us, self._unhandled_since_us)
         self._confirmed_at_us = complete_at_us
         self._unhandled_since_us = None
+        self._end_wait()
+
+    def _end_wait(self) -> None:
+        self._waiting_since_us = None
         self._overdue_until_current = False
 
     def _enter(self, state: FeedState, reason: str, now_us: int) -> None:
--- a/onyxwick/core/feed_gate.py
+++ b/onyxwick/core/feed_gate.py
@@ -23,10 +23,17 @@
 class FeedGate:
     """The requests of one director that wait for its feed. `now` returns steady microseconds."""
 
-    def __init__(self, freshness: FeedFreshness, now: Callable[[], int], counters: Counters) -> None:
+    def __init__(
+        self,
+        freshness: FeedFreshness,
+        now: Callable[[], int],
+        counters: Counters,
+        read_feed_after_stall: Callable[[], None],
+    ) -> None:
         self.freshness = freshness
         self.now = now
         self.counters = counters
+        self.read_feed_after_stall = read_feed_after_stall
         self._waiting: list[Callable[[], None]] = []
         self._first_waiting_at_us = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -34,6 +41,7 @@
 
     def is_open(self) -> bool:
         """Return whether requests may be sent now."""
+        self.read_feed_after_stall()
         return self.freshness.may_send(self.now())
 
     def call_when_open(self, callback: Callable[[], None]) -> None:
@@ -47,7 +55,7 @@
 
     def _set_timer(self) -> None:
         now_us = self.now()
-        delay_us = max(MIN_TIMER_US, self.freshness.wait_ends_at_us(now_us) - now_us)
+        delay_us = max(MIN_TIMER_US, self.freshness.wait_ends_at_us() - now_us)
         self._timer = asyncio.get_running_loop().call_later(delay_us / US_PER_S, self._on_timer)
 
     def _on_timer(self) -> None:
--- a/onyxwick/core/send_guard.py
+++ b/onyxwick/core/send_guard.py
@@ -15,6 +15,7 @@
 from onyxwick.core.stall_detector import StallDetector
 from onyxwick.interface import Idempotency, RouterSettings
 
+US_PER_S = 1e6
 KEY_WINDOW_MARGIN_TICKS = 2
 """A retry with an idempotency key is sent at least this many ticks before the end of the key's window, so
 that it arrives within the window."""
@@ -45,6 +46,7 @@
         self.key_window_margin_us = KEY_WINDOW_MARGIN_TICKS * settings.tick_us
         self.read_pending_feed: Callable[[], None] | None = None
         self._handled_stalls = 0
+        self._handled_stalled_s = 0.0
 
     def may_send(
         self,
@@ -59,7 +61,7 @@
         The list must be recent enough to send on, the client must still wait, a retry must be safe, and the
         member and its source must still accept it.
         """
-        self._read_feed_after_stall()
+        self.read_feed_after_stall()
         if (
             not self.freshness.may_send(self.now())
             or lifecycle.client_departed
@@ -72,11 +74,14 @@
             return False
         return self.endpoints.is_still_valid(member, fill_source, lifecycle.request, snapshot)
 
-    def _read_feed_after_stall(self) -> None:
+    def read_feed_after_stall(self) -> None:
         """After a stall, apply drains and purges that may be waiting in the feed's socket."""
         self.stalls.observe(time.monotonic())
         if self._handled_stalls != self.stalls.stall_count:
             self._handled_stalls = self.stalls.stall_count
+            stalled_s = self.stalls.stalled_s - self._handled_stalled_s
+            self._handled_stalled_s = self.stalls.stalled_s
+            self.freshness.on_stall(int(stalled_s * US_PER_S))
             if self.read_pending_feed is not None:
                 self.read_pending_feed()
 
--- a/onyxwick/core/stall_detector.py
+++ b/onyxwick/core/stall_detector.py
@@ -32,6 +32,7 @@
     def __init__(self, now_s: float) -> None:
         self.last_observed_s = now_s
         self.stall_count = 0
+        self.stalled_s = 0.0  # length of all stalls
         self._recent: deque[_Stall] = deque(maxlen=MAX_REMEMBERED_STALLS)  # oldest first
 
     def observe(self, now_s: float) -> float:
@@ -42,6 +43,7 @@
         if now_s - self.last_observed_s > STALL_S:
             self._recent.append(_Stall(self.last_observed_s))
             self.stall_count += 1
+            self.stalled_s += now_s - self.last_observed_s
         self.last_observed_s = now_s
         return self._recent[0].started_at_s if self._recent else now_s
 
