A director of the distribution tree waits for its publisher's word, as others for the coordinator

A director that subscribes to the tree was ready with the list of its configuration, went on while its relay did not reach the publisher, and after a stop sent before the relay's bytes were read. Change: the publisher's freshness notices (each 0.4 s, 0.2 s a hop) confirm the list; over 1 s without one it is not current, and after a stall the next one is waited for. A lost parent is told as a lost feed. The bounds on the waits are the same. Failure before: test_a_feed_that_announces_nothing_expires_where_its_source_must_announce_itself, test_after_a_stop_a_feed_of_the_tree_is_waited_for.

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -83,6 +83,9 @@
         self.on_change: Callable[[FeedStateChange], None] | None = None
         self.on_usable: Callable[[], None] | None = None
         self.announced_index = 0
+        self.announcement_limit_us: int | None = None
+        """Set for a feed whose connection may outlive the one to its source: a list that was announced to be
+        complete longer ago than this is not current."""
         self._started_at_us = 0
         self._confirmed_at_us: int | None = None  # while not CURRENT: when the list was last complete
         self._announced_at_us = 0  # when the last index was announced up to which all events were applied
@@ -111,8 +114,7 @@
         """Return whether requests may be sent on the list as it is known."""
         if self.state is FeedState.NOT_FOLLOWED or self._overdue_until_current:
             return True
-        age_us = self.age_us(now_us)
-        if age_us is not None and age_us <= LIST_LEASE_US:
+        if self._is_within_lease(now_us):
             return True
         if self._waiting_since_us is None:
             self._waiting_since_us = now_us
@@ -122,6 +124,10 @@
         self._enter(FeedState.OVERDUE, "the longest wait is over", now_us)
         return True
 
+    def _is_within_lease(self, now_us: int) -> bool:
+        age_us = self.age_us(now_us)
+        return age_us is not None and age_us <= LIST_LEASE_US
+
     def wait_ends_at_us(self) -> int:
         """Return until when requests wait at most that may not be sent now."""
         if self._confirmed_at_us is None:
@@ -140,6 +146,9 @@
     def _last_confirmed_us(self, now_us: int) -> int | None:
         if self.state is not FeedState.CURRENT:
             return self._confirmed_at_us
+        limit_us = self.announcement_limit_us
+        if limit_us is not None and now_us - self._announced_at_us > limit_us:
+            return self._announced_at_us
         return now_us if self._unhandled_since_us is None else self._unhandled_since_us
 
     # ---- inputs ------------------------------------------------------------------------------------------
@@ -149,8 +158,14 @@
         self._started_at_us = now_us
         self._enter(FeedState.STARTING, "started", now_us)
 
-    def on_stall(self, stalled_us: int) -> None:
-        """Lengthen the wait by a time in which the process stood still, as the feed could bring nothing."""
+    def on_stall(self, stalled_us: int, now_us: int) -> None:
+        """Lengthen the wait by a time in which the process stood still, as the feed could bring nothing.
+
+        A feed with an announcement limit is not read right after a stall, so its next announcement counts.
+        """
+        if self.announcement_limit_us is not None and self.state is FeedState.CURRENT:
+            self._leave_current(now_us - stalled_us)
+            self._enter(FeedState.JOINED, "stall", now_us)
         self._started_at_us += stalled_us
         if self._waiting_since_us is not None:
             self._waiting_since_us += stalled_us
@@ -181,8 +196,12 @@
         """Record the last index that the feed announces, and the index up to which events are applied."""
         self.announced_index = index
         if applied_index >= index:
+            had_expired = self.state is FeedState.CURRENT and not self._is_within_lease(now_us)
             self._announced_at_us = now_us
             self._become_current("all announced events are applied", now_us)
+            if had_expired:
+                self._end_wait()
+                self._notify_usable()
             return
         if self.state is FeedState.CURRENT:
             self._leave_current(self._announced_at_us)
--- a/onyxwick/core/send_guard.py
+++ b/onyxwick/core/send_guard.py
@@ -81,7 +81,7 @@
             self._handled_stalls = self.stalls.stall_count
             stalled_s = self.stalls.stalled_s - self._handled_stalled_s
             self._handled_stalled_s = self.stalls.stalled_s
-            self.freshness.on_stall(int(stalled_s * US_PER_S))
+            self.freshness.on_stall(int(stalled_s * US_PER_S), self.now())
             if self.read_pending_feed is not None:
                 self.read_pending_feed()
 
--- a/onyxwick/net/director_feed.py
+++ b/onyxwick/net/director_feed.py
@@ -29,6 +29,9 @@
 from onyxwick.net.feed_wire import IS_SNAPSHOT, LIST_VERSION, NO_GROUP, ROWS, US_PER_MS, read_members
 
 log = logs.get()
+ANNOUNCEMENT_LIMIT_US = 1_000_000
+"""A list is not current if the publisher was not reached for this long. It announces itself each 0.4 s, and
+each relay on the way passes that on within 0.2 s."""
 ApplyDocument = Callable[[str], None]
 """Applies a document's text. Raises ValueError if it is unusable: the previous version stays in force."""
 MALFORMED_PAYLOAD_ERRORS = (KeyError, ValueError, TypeError)
@@ -48,6 +51,8 @@
         self.versions: dict[str, tuple[int, str]] = {}  # version and digest of each complete document
         self.cursor = Cursor(0, 0)
         self._assembler = DocumentAssembler()
+        self._refreshed_at_us = 0  # when the publisher was last known to be reached
+        core.freshness.announcement_limit_us = ANNOUNCEMENT_LIMIT_US
 
     def deliver(self, event: FeedEvent, from_snapshot: bool) -> None:
         """Apply one event. An invalid event is counted, logged and skipped."""
@@ -78,12 +83,20 @@
 
         If no event is outstanding, all later events were made after this moment.
         """
+        now_us = self.core.now()
         if freshness.cursor <= self.cursor:
-            self.stamps.mark_caught_up(self.core.now())
+            self.stamps.mark_caught_up(now_us)
+        self._refreshed_at_us = now_us
+        self.core.freshness.on_announced(freshness.cursor.packed, self.cursor.packed, now_us)
+
+    def lost(self, reason: str) -> None:
+        """Record that no parent is connected. What the last one has not announced may be outstanding."""
+        self.core.freshness.on_lost(self._refreshed_at_us, reason, self.core.now())
 
     def _advance_cursor(self, cursor: Cursor) -> None:
         self.cursor = cursor
         self.core.feed.record_feed_index(cursor.packed)
+        self.core.freshness.on_applied(cursor.packed, self.core.now())
 
     def _apply(self, payload: Payload) -> None:
         if isinstance(payload, PurgeEvent):
--- a/onyxwick/net/subscription.py
+++ b/onyxwick/net/subscription.py
@@ -125,6 +125,8 @@
         self.counters = counters
         self.clock = clock  # steady microseconds
         self.on_line: Callable[[], None] | None = None
+        self.on_lost: Callable[[str], None] | None = None
+        """Called with the reason when the connection in use has ended, or none could be established."""
         self._connection: _ParentConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._deadline_changed = asyncio.Event()
@@ -204,6 +206,8 @@
         log.info("feed parent lost", parent=format_address(address), reason=reason)
         self._perform(self.follower.on_connection_lost(self.clock(), reason))
         self._deadline_changed.set()
+        if self.on_lost is not None:
+            self.on_lost(reason)
 
     def _disconnect(self, reason: str) -> None:
         connection = self._connection
@@ -214,6 +218,8 @@
             connection.transport.abort()
         log.info("feed parent disconnected", reason=reason)
         self._deadline_changed.set()
+        if self.on_lost is not None:
+            self.on_lost(reason)
 
     def on_lines(self, connection: _ParentConnection, lines: Sequence[bytes]) -> None:
         """Pass complete lines of the connection in use to the follower; ignore those of any other."""
--- a/onyxwick/service.py
+++ b/onyxwick/service.py
@@ -130,7 +130,9 @@
         follower = Follower(len(feed_config.parents), delays, limits=limits)
         documents = {QUOTAS_DOCUMENT: self.service_config.tenants.apply_quotas}
         sink = DirectorFeed(engine, engine.counters, documents)
-        return Subscription(follower, feed_config.parents, sink, engine.counters, engine.now)
+        subscription = Subscription(follower, feed_config.parents, sink, engine.counters, engine.now)
+        subscription.on_lost = sink.lost
+        return subscription
 
     def _feed_health(self) -> dict[str, object]:
         """Return the state and age of the feed for the health call; empty without a subscription."""
--- a/tests/test_feed_freshness.py
+++ b/tests/test_feed_freshness.py
@@ -85,7 +85,7 @@
     freshness.on_lost(NOW_US, "closed", NOW_US)
     waiting_us = NOW_US + LIST_LEASE_US + 1
     assert not freshness.may_send(waiting_us)
-    freshness.on_stall(3_000_000)
+    freshness.on_stall(3_000_000, waiting_us + 3_000_000)
     assert not freshness.may_send(waiting_us + 3_000_000 + RECONNECT_WAIT_US - 1)
     assert freshness.may_send(waiting_us + 3_000_000 + RECONNECT_WAIT_US)
 
@@ -117,6 +117,28 @@
     assert freshness.may_send(NOW_US + 9_000_000)
 
 
+# Guards against: a director of the distribution tree goes on while its relay does not reach the publisher.
+def test_a_feed_that_announces_nothing_expires_where_its_source_must_announce_itself() -> None:
+    freshness = _current()
+    freshness.announcement_limit_us = 1_000_000
+    assert freshness.may_send(NOW_US + 1_000_000)
+    assert not freshness.may_send(NOW_US + 1_000_001)
+    opened = list[int]()
+    freshness.on_usable = lambda: opened.append(1)
+    freshness.on_announced(7, 7, NOW_US + 1_200_000)
+    assert freshness.may_send(NOW_US + 1_200_000) and opened
+
+
+# Guards against: a director of the distribution tree sends after a stop before its feed was read.
+def test_after_a_stop_a_feed_of_the_tree_is_waited_for() -> None:
+    freshness = _current()
+    freshness.announcement_limit_us = 1_000_000
+    freshness.on_stall(600_000, NOW_US + 600_000)
+    assert not freshness.may_send(NOW_US + 600_000)
+    freshness.on_announced(8, 8, NOW_US + 610_000)
+    assert freshness.may_send(NOW_US + 610_000)
+
+
 class _Simulation:
     """A director whose feed is lost, refused, joined and late at random, and a coordinator that goes on."""
 
