A director with a store connects to its feed within 0.5 s, and sends nothing before

A director with a store, restarted among 200, waited up to 2 s before its first connection to the feed and served on the stored list meanwhile. Cause: the delay that spreads the connections of a fleet counted on the stored drains alone; what was told while the process was away is not in the store. Since the lease its requests wait; the delay would make them wait for up to 2 s. Change: the feed's connections are spread over a quarter of that time.

--- a/onyxwick/service.py
+++ b/onyxwick/service.py
@@ -37,6 +37,9 @@
 SUBSCRIPTION_SEED = 0x5B5
 """`RAMP_UP_SEED` and `SUBSCRIPTION_SEED` are combined with the director's seed, so that the ramp-up and the
 subscription have separate random numbers."""
+FEED_DELAY_DIVISOR = 4
+"""Connections to the feed are spread over this part of the time over which those to caches are: no request is
+sent before the feed has confirmed the list."""
 QUOTAS_DOCUMENT = "quotas"
 """Name of the distributed document with the tenants' quotas."""
 
@@ -84,7 +87,7 @@
         """Spread the reconnections of directors that restart at the same time (core/backoff.py).
 
         With a store, a director follows the feed after a delay drawn from its seed and opens its connections
-        to caches gradually; meanwhile it serves from the recovered state. With sites, its request rate to
+        to caches gradually; its requests wait for the feed, as at any start. With sites, its request rate to
         parents increases at the same rate: the director's popularity counts are empty, so without this limit
         requests for all rare objects would reach the parents at the same time.
         """
@@ -102,7 +105,7 @@
         if sites is not None:
             sites.startup_share = backoff.ramp_share
         if self.durable is not None:
-            coordinator.initial_delay_us = backoff.initial_delay_us
+            coordinator.initial_delay_us = backoff.initial_delay_us // FEED_DELAY_DIVISOR
             cache_pool.warm_up_share = lambda: backoff.ramp_share(self.engine.now())
 
     # ---- feed -------------------------------------------------------------------------------------------
--- a/tests/freshness_director.py
+++ b/tests/freshness_director.py
@@ -206,7 +206,10 @@
 
 
 class FreshnessDirector:
-    """One real director process. Directors with different seeds retry a lost feed at different times."""
+    """One real director process, with a store if it is given a service file.
+
+    Directors with different seeds retry a lost feed at different times.
+    """
 
     def __init__(
         self, folder: Path, coordinator: Coordinator, seed: int, environment: dict[str, str]
@@ -220,6 +223,7 @@
         self.address = free_address()
         self.log = folder / "director.log"
         self.environment = environment
+        self.instances = 1  # directors that the settings name, which may restart together
         self.process: subprocess.Popen[bytes] | None = None
         self.started_s = 0.0
         self.client = Client(self.address)
@@ -240,6 +244,7 @@
         configuration["seed"] = f"{self.seed:x}"
         configuration["listen"] = format_address(self.address)
         configuration["coordinator"] = format_address(self.coordinator.address)
+        configuration["settings"]["instances"] = self.instances
         configuration["limits"] = {"cores": 1, "memory_mb": 80, "sockets": 512}
         listed = configuration["known"]["updates"][0]["endpoints"]
         by_kind = {row["kind"]: row for row in listed["servers"]}
@@ -268,6 +273,15 @@
                 stderr=log,
             )
 
+    def restart(self) -> None:
+        """Kill the process and start it again under the same configuration."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait()
+        self.client.close()
+        self.client = Client(self.address)
+        self.start()
+
     def move_to(self, coordinator: Coordinator) -> None:
         """Have the director read its configuration again, in which another coordinator is named."""
         self.coordinator.stop_listening()
--- a/tests/test_feed_freshness_processes.py
+++ b/tests/test_feed_freshness_processes.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from onyxwick.store.encryption import generate_key
 from tests.freshness_director import (
     Coordinator,
     FreshnessDirector,
@@ -24,6 +25,14 @@
 Script = Callable[[Coordinator, socket.socket, int], None]
 DRAINED = ("c0", "c1", "c2", "p0")
 READY_LIMIT_S = 3.0
+SEED_OF_LATE_CONNECTION = 5  # of 200 directors with a store, this one connects among the last
+STORE_SERVICE = """
+store {{
+  folder       = "{folder}"
+  key_file     = "store.keys"
+  installation = "freshness-test"
+}}
+"""
 RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER with which a close sends a reset
 
 
@@ -184,6 +193,27 @@
         assert director.client.served == director.client.sent
 
 
+# Guards against: a director with a store serves on an old list while it delays its connection to the feed.
+def test_a_start_from_a_store_keeps_the_grace_and_is_ready_in_time(tmp_path: Path) -> None:
+    (tmp_path / "store.keys").write_text(generate_key() + "\n")
+    service = tmp_path / "service.hcl"
+    service.write_text(STORE_SERVICE.format(folder=tmp_path / "store"))
+    coordinator = Coordinator()
+    coordinator.listen()
+    environment = {"ONYXWICK_SERVICE": str(service)}
+    with freshness_director(tmp_path, coordinator, SEED_OF_LATE_CONNECTION, environment) as director:
+        director.instances = 200
+        _start_beside_drains(director, ask_for_ready=False)
+        assert director.late_sends() == []
+        assert director.client.served == director.client.sent
+        director.restart()
+        coordinator.drain("c3")
+        assert director.wait_ready() < READY_LIMIT_S
+        director.client.send_for(1.0)
+        assert director.late_sends() == []
+        assert director.client.served == director.client.sent
+
+
 # Guards against: the feed's last index alone is taken for the event of that index, which is never applied.
 def test_the_last_index_alone_is_not_taken_for_its_event(tmp_path: Path) -> None:
     def index_before_event(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
