--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -24,9 +24,9 @@
 START_WAIT_US = 2_500_000
 """Longest wait of a start for the feed: with the interpreter's own start, a director without a coordinator is
 ready within 3 s."""
-RECONNECT_WAIT_US = 1_000_000
-"""Longest wait of a running director's requests for a lost feed, from the first of them on: the time after
-which a lost connection request is sent again, and less than a client's timeout."""
+RECONNECT_WAIT_US = 1_500_000
+"""Longest wait of a running director's requests for a lost feed, from the first of them on: a connection that
+brings nothing is joined by another after 1.2 s."""
 START_REFUSED_US = 500_000
 """A start accepts that the coordinator is not running once its connections were refused for this long. A
 coordinator that is only being restarted, and was told of an event before, is back by then."""
--- a/tests/test_feed_freshness_processes.py
+++ b/tests/test_feed_freshness_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import signal
 import socket
 import struct
@@ -13,6 +14,7 @@
 
 import pytest
 
+from onyxwick.config.address import format_address
 from onyxwick.store.encryption import generate_key
 from tests.freshness_director import (
     Coordinator,
@@ -21,6 +23,7 @@
     last_index_line,
     read_follow,
 )
+from tests.limited_director import free_address
 
 Script = Callable[[Coordinator, socket.socket, int], None]
 DRAINED = ("c0", "c1", "c2", "p0")
@@ -214,6 +217,40 @@
         assert director.client.served == director.client.sent
 
 
+# Guards against: a successor is called ready, and its predecessor ended, before its list is confirmed.
+def test_a_successor_is_not_ready_before_its_feed_has_confirmed_the_list(tmp_path: Path) -> None:
+    operations = free_address()
+    coordinator = Coordinator(_first_line_late)
+    coordinator.listen()
+    environment = {"RELAY_ADMIN": format_address(operations)}
+    with freshness_director(tmp_path, coordinator, environment=environment) as director:
+        director.start()
+        director.wait_listening()
+        assert _readiness(operations) == 503
+        director.wait_ready()
+        assert _readiness(operations) == 200
+        assert [line["now"] for line in director.events("feed state changed")] == [
+            "starting",
+            "joined",
+            "current",
+        ]
+
+
+def _readiness(operations: tuple[str, int]) -> int:
+    """Return the status of the readiness call."""
+    deadline_s = time.monotonic() + 5.0
+    while True:
+        connection = http.client.HTTPConnection(*operations, timeout=5.0)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status
+        except ConnectionRefusedError:  # it listens a moment after the front
+            assert time.monotonic() < deadline_s
+            time.sleep(0.005)
+        finally:
+            connection.close()
+
+
 # Guards against: the feed's last index alone is taken for the event of that index, which is never applied.
 def test_the_last_index_alone_is_not_taken_for_its_event(tmp_path: Path) -> None:
     def index_before_event(coordinator: Coordinator, connection: socket.socket, number: int) -> None:
