A coordinator that accepts connections is waited for longer than one that is away

Cause: one bound for a coordinator that is away and for one that answers a whole fleet. Change: while a connection is established a start waits 5 s and a running director's requests 2.5 s; without one, 2.5 s and 1.5 s as before. Failure before: test_a_coordinator_that_is_there_is_waited_for_longer.

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -24,12 +24,17 @@
 START_WAIT_US = 2_500_000
 """Longest wait of a start for the feed: with the interpreter's own start, a director without a coordinator is
 ready within 3 s."""
-RECONNECT_WAIT_US = 1_500_000
-"""Longest wait of a running director's requests for a lost feed, from the first of them on: a connection that
-brings nothing is joined by another after 1.2 s."""
+START_CONNECTED_WAIT_US = 5_000_000
+"""Longest wait of a start while a connection to the coordinator is established: it is there, and may be
+answering a whole fleet that has just started. A director must be ready within 6 s."""
 START_REFUSED_US = 500_000
 """A start accepts that the coordinator is not running once its connections were refused for this long. A
 coordinator that is only being restarted, and was told of an event before, is back by then."""
+RECONNECT_WAIT_US = 1_500_000
+"""Longest wait of a running director's requests for a lost feed, from the first of them on: a connection that
+brings nothing is joined by another after 1.2 s."""
+RECONNECT_CONNECTED_WAIT_US = 2_500_000
+"""Longest wait of a running director's requests while a connection to the coordinator is established."""
 
 
 class FeedState(Enum):
@@ -90,6 +95,7 @@
         self._confirmed_at_us: int | None = None  # while not CURRENT: when the list was last complete
         self._announced_at_us = 0  # when the last index was announced up to which all events were applied
         self._unhandled_since_us: int | None = None  # while CURRENT: since when input waits to be applied
+        self._is_connected = False  # a connection is established, and has not brought anything yet
         self._refused_since_us: int | None = None
         self._waiting_since_us: int | None = None  # since when requests wait, of a director that has started
         self._overdue_until_current = False
@@ -131,8 +137,10 @@
     def wait_ends_at_us(self) -> int:
         """Return until when requests wait at most that may not be sent now."""
         if self._confirmed_at_us is None:
-            return self._started_at_us + START_WAIT_US
-        return (self._waiting_since_us or 0) + RECONNECT_WAIT_US
+            wait_us = START_CONNECTED_WAIT_US if self._is_connected else START_WAIT_US
+            return self._started_at_us + wait_us
+        wait_us = RECONNECT_CONNECTED_WAIT_US if self._is_connected else RECONNECT_WAIT_US
+        return (self._waiting_since_us or 0) + wait_us
 
     def is_ready(self, now_us: int) -> bool:
         """Return whether the start's wait for the feed is over, so that clients may come.
@@ -141,7 +149,7 @@
         """
         if self.state is FeedState.NOT_FOLLOWED or self._overdue_until_current:
             return True
-        return self._confirmed_at_us is not None or now_us >= self._started_at_us + START_WAIT_US
+        return self._confirmed_at_us is not None or now_us >= self.wait_ends_at_us()
 
     def _last_confirmed_us(self, now_us: int) -> int | None:
         if self.state is not FeedState.CURRENT:
@@ -170,6 +178,10 @@
         if self._waiting_since_us is not None:
             self._waiting_since_us += stalled_us
 
+    def on_connected(self) -> None:
+        """Record that a connection is established, which has not brought anything yet."""
+        self._is_connected = True
+
     def on_joined(self, now_us: int) -> None:
         """Record a connection that has brought its first bytes."""
         self._refused_since_us = None
@@ -214,12 +226,14 @@
 
     def on_lost(self, heard_at_us: int, reason: str, now_us: int) -> None:
         """Record the end of the connection. `heard_at_us`: nothing was outstanding on it up to this time."""
+        self._is_connected = False
         if self.state is FeedState.CURRENT:
             self._leave_current(heard_at_us)
         self._enter(FeedState.LOST, reason, now_us)
 
     def on_refused(self, now_us: int) -> None:
         """Record that the coordinator refused a connection. It is not running, and knows of no event."""
+        self._is_connected = False
         if self._refused_since_us is None:
             self._refused_since_us = now_us
         if self._confirmed_at_us is None and now_us - self._refused_since_us < START_REFUSED_US:
--- a/onyxwick/net/feed_race.py
+++ b/onyxwick/net/feed_race.py
@@ -39,9 +39,12 @@
 class PendingConnection:
     """One connection, from connecting until its first byte is received."""
 
-    def __init__(self, address: Address, greeting: Callable[[], bytes]) -> None:
+    def __init__(
+        self, address: Address, greeting: Callable[[], bytes], on_established: Callable[[], None]
+    ) -> None:
         self.address = address
         self.greeting = greeting
+        self.on_established = on_established
         self.started_s = time.monotonic()
         self.is_established = False
         self.received = False
@@ -57,6 +60,7 @@
         await loop.sock_connect(sock, self.address)
         await loop.sock_sendall(sock, self.greeting())
         self.is_established = True
+        self.on_established()
         await wait_readable(loop, sock)
         self.received = True
 
@@ -81,12 +85,19 @@
 class FeedRace:
     """Races connections to one address; the first connection that receives bytes wins.
 
-    `greeting` returns the bytes that are written on each connection once it is established.
+    `greeting` returns the bytes that are written on each connection once it is established, and
+    `on_established` is called then.
     """
 
-    def __init__(self, address: Address, greeting: Callable[[], bytes]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        greeting: Callable[[], bytes],
+        on_established: Callable[[], None] = lambda: None,
+    ) -> None:
         self.address = address
         self.greeting = greeting
+        self.on_established = on_established
         self.attempts: list[PendingConnection] = []  # oldest first
         self.newest: PendingConnection | None = None
         self.probe: PendingConnection | None = None
@@ -144,7 +155,10 @@
     async def _start_another(self) -> None:
         if self.newest is not None and not self.newest.is_slow(time.monotonic()):
             return
-        await self._add(PendingConnection(self.address, self.greeting))
+        await self._add(self._connect())
+
+    def _connect(self) -> PendingConnection:
+        return PendingConnection(self.address, self.greeting, self.on_established)
 
     async def _add(self, attempt: PendingConnection) -> None:
         if len(self.attempts) >= MAX_CONCURRENT_CONNECTIONS:
@@ -166,4 +180,4 @@
             return
         if probe is not None:
             await probe.stop(None)
-        self.probe = PendingConnection(self.address, self.greeting)
+        self.probe = self._connect()
--- a/tests/test_feed_freshness.py
+++ b/tests/test_feed_freshness.py
@@ -6,7 +6,9 @@
 
 from onyxwick.core.feed_freshness import (
     LIST_LEASE_US,
+    RECONNECT_CONNECTED_WAIT_US,
     RECONNECT_WAIT_US,
+    START_CONNECTED_WAIT_US,
     START_REFUSED_US,
     START_WAIT_US,
     FeedFreshness,
@@ -44,6 +46,22 @@
     assert freshness.is_confirmed() and not freshness.is_overdue
 
 
+# Guards against: directors of a fleet that starts at once give up a coordinator that answers one by one.
+def test_a_coordinator_that_is_there_is_waited_for_longer() -> None:
+    freshness = _started()
+    freshness.on_connected()
+    assert not freshness.may_send(NOW_US + START_CONNECTED_WAIT_US - 1)
+    assert not freshness.is_ready(NOW_US + START_CONNECTED_WAIT_US - 1)
+    assert freshness.may_send(NOW_US + START_CONNECTED_WAIT_US)
+    running = _current()
+    running.on_lost(NOW_US, "closed", NOW_US)
+    running.on_connected()
+    waiting_us = NOW_US + LIST_LEASE_US + 1
+    assert not running.may_send(waiting_us)
+    assert not running.may_send(waiting_us + RECONNECT_CONNECTED_WAIT_US - 1)
+    assert running.may_send(waiting_us + RECONNECT_CONNECTED_WAIT_US)
+
+
 # Guards against: a coordinator that is away keeps directors from serving.
 def test_a_refused_connection_ends_the_wait_of_a_start_once_it_lasts() -> None:
     freshness = _started()
