lab faults fleet: most of a fleet killed and started at once, late sends counted at the caches

The rate of requests and the interval of looks at memory are fields of the soak's plan. A planted history checks the count.

--- a/onyxwick/cli/faults.py
+++ b/onyxwick/cli/faults.py
@@ -264,3 +264,29 @@
     if report.findings:
         return FINDING_EXIT_CODE
     return 0 if report.judged else NOT_JUDGED_EXIT_CODE
+
+
+@faults.command()
+@click.option("--seed", "first", type=int, default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True)
+@click.option("--directors", type=click.IntRange(2, 200), default=100, show_default=True)
+@click.option(
+    "--program", type=click.Path(path_type=Path), help="Source tree of another revision, to run instead."
+)
+@click.option("--slot", type=click.IntRange(0, 40), default=0, help="Number of the loopback network.")
+def fleet(first: int, seeds: int, directors: int, program: Path | None, slot: int) -> None:
+    """Kill most of a fleet and start it at once as caches drain; count what comes to them past the grace.
+
+    Prints one JSON report per seed; exit 1 if a request came past the grace.
+    """
+    import uvloop
+
+    from onyxwick.lab.soak.fleet import play_fleet
+
+    broken = False
+    for seed in range(first, first + seeds):
+        report = uvloop.run(play_fleet(seed, directors, program, slot))
+        click.echo(json.dumps(report.data()))
+        broken = broken or bool(report.past_grace_ms)
+    if broken:
+        raise click.exceptions.Exit(FINDING_EXIT_CODE)
--- a/onyxwick/lab/soak/process.py
+++ b/onyxwick/lab/soak/process.py
@@ -26,7 +26,6 @@
 READY_TIMEOUT_S, EXIT_TIMEOUT_S, PING_TIMEOUT_S = 10.0, 10.0, 1.0
 REPORTED_MARKS = ('"event":"invariant violated"', "Traceback", '"level":"critical"', "error in ")
 MAX_REPORTED_LINES = 200
-MEMORY_INTERVAL_S = 0.1
 BYTES_PER_MB = 1_000_000
 
 
@@ -39,6 +38,7 @@
         self.child: asyncio.subprocess.Process | None = None
         self.reading: list[asyncio.Task[None]] = []
         self.memory: MemoryRecorder | None = None
+        self.memory_interval_s = 0.1
         self.told_bytes = 0  # the memory that the process may use
 
     async def start(self, environment: dict[str, str], pass_fd: int | None) -> None:
@@ -54,7 +54,7 @@
             pass_fds=() if pass_fd is None else (pass_fd,),
         )
         assert self.child.stdout is not None and self.child.stderr is not None
-        self.memory = MemoryRecorder(self.child.pid, MEMORY_INTERVAL_S)
+        self.memory = MemoryRecorder(self.child.pid, self.memory_interval_s)
         loop = asyncio.get_running_loop()
         self.reading = [
             loop.create_task(self._read_log(self.child.stderr)),
@@ -110,6 +110,7 @@
 class SoakDirector:
     """A director under one name. `held`: the lab owns the listening socket, which successors take over."""
 
+    memory_interval_s = 0.1
     tree: Path | None = None  # source tree of another revision, whose program is run
 
     def __init__(
@@ -172,6 +173,7 @@
             environment["RELAY_LISTEN_FD"] = str(fd)
         process = Process(f"{self.name}.{self.starts}", self.folder.parent, self.records, self.tree)
         process.told_bytes = self.memory_mb * BYTES_PER_MB
+        process.memory_interval_s = self.memory_interval_s
         await process.start(environment, fd)
         begun = asyncio.get_running_loop().time()
         while not await self._ready(process):
--- a/onyxwick/lab/soak/report.py
+++ b/onyxwick/lab/soak/report.py
@@ -35,6 +35,8 @@
     answer_bytes: int = 2000  # answer size of the class with the largest answers
     memory_mb: int = 80  # limits that are told to each director, as tight as on the platform's short days
     sockets: int = 512
+    requests_per_s: float = 5.0  # arrival rate of the ordinary clients' requests, for each director
+    memory_interval_s: float = 0.1  # interval of the looks at each process's memory
     held: bool | None = None  # the lab owns the listening sockets; None: those of every third director
 
     @property
--- a/onyxwick/lab/soak/run.py
+++ b/onyxwick/lab/soak/run.py
@@ -37,7 +37,6 @@
 
 S = 1_000_000
 GROUPS = 16
-REQUESTS_PER_S = 5.0  # arrival rate of the ordinary clients' requests, for each director
 START_SETTLE_S, TIMER_PERIOD_S, FINAL_WAIT_S = 1.0, 0.01, 5.0
 LAB_SOCKET_EVERY = 3  # the lab owns the listening socket of every third director
 MAX_CONCURRENT_STARTS = 6
@@ -138,6 +137,7 @@
         )
         director = SoakDirector(number, self.base, self.folder, held, self.records, self.clock)
         director.tree = self.plan.tree
+        director.memory_interval_s = self.plan.memory_interval_s
         director.control = Control(self.folder / f"{director.name}.control")
         director.coordinator = SoakCoordinator((f"{self.base}.9.{number + 1}", 7070), self.clock)
         director.feed = Feed(director.coordinator)
@@ -184,7 +184,7 @@
         due = begun
         while due < begun + self.plan.seconds:
             burst = 6.0 if director.number in self.clients.leaving else 1.0
-            due += rng.expovariate(REQUESTS_PER_S * burst)
+            due += rng.expovariate(self.plan.requests_per_s * burst)
             await asyncio.sleep(max(0.0, due - loop.time()))
             takes = director.takes_connections
             task = loop.create_task(self.clients.ask(director.number, director.listen, takes))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 
 from onyxwick.lab.model import Tier
 from onyxwick.lab.soak import plan as p
+from onyxwick.lab.soak.fleet import ages_of_sends_to_drained
 from onyxwick.lab.soak.model import (
     ClientConnection,
     ColdStart,
@@ -410,6 +411,24 @@
     assert [purge.told_us for purge in records.purged if purge.group == 1][-2:] == [NOW + 7 * S, NOW]
 
 
+# Guards against: a count of late sends that misses sources, or counts what the rule allows.
+def test_the_fleet_counts_sends_to_drained_servers_and_sources_until_they_serve_again() -> None:
+    records = _sound()
+    call = next(iter(records.calls.values()))
+    records.sent.clear()
+    records.unready.append(Unready("box-0", call.director, NOW, NOW + 2 * S))
+    records.unready.append(Unready("box-0", call.director + 1, NOW, NOW + 9 * S))
+    for server, source, at in (
+        ("box-0", None, NOW - 1),
+        ("box-0", None, NOW + S // 2),
+        ("box-1", "box-0", NOW + S),
+        ("box-1", "box-2", NOW + S),
+        ("box-0", None, NOW + 3 * S),
+    ):
+        records.sent.append(Sent(at, server, call.id, source, 0, 0))
+    assert ages_of_sends_to_drained(records) == [S // 2, S]
+
+
 # ---- real directors ---------------------------------------------------------------------------------------
 
 
