Events on a new connection, and then nothing for 0.1 s, confirm the list

Cause: the coordinator answers follow with its events or, if there are none, its last index; after events the index comes with the next second. The wait was for the index. Change: events on a new connection and then nothing for 0.1 s confirm the list.

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -30,6 +30,9 @@
 START_REFUSED_US = 500_000
 """A start accepts that the coordinator is not running once its connections were refused for this long. A
 coordinator that is only being restarted, and was told of an event before, is back by then."""
+JOIN_SETTLE_US = 100_000
+"""A new connection that brought events, and then nothing for this long, has brought all: the coordinator
+sends what it has at once, and tells its last index up to a second later."""
 RECONNECT_WAIT_US = 1_500_000
 """Longest wait of a running director's requests for a lost feed, from the first of them on: a connection that
 brings nothing is joined by another after 1.2 s."""
@@ -94,7 +97,8 @@
         self._started_at_us = 0
         self._confirmed_at_us: int | None = None  # while not CURRENT: when the list was last complete
         self._announced_at_us = 0  # when the last index was announced up to which all events were applied
-        self._unhandled_since_us: int | None = None  # while CURRENT: since when input waits to be applied
+        self._unhandled_since_us: int | None = None  # since when input waits to be applied
+        self._event_applied_at_us: int | None = None  # while JOINED: when the last event was applied
         self._is_connected = False  # a connection is established, and has not brought anything yet
         self._refused_since_us: int | None = None
         self._waiting_since_us: int | None = None  # since when requests wait, of a director that has started
@@ -120,6 +124,8 @@
         """Return whether requests may be sent on the list as it is known."""
         if self.state is FeedState.NOT_FOLLOWED or self._overdue_until_current:
             return True
+        if self._has_settled(now_us):
+            self._become_current("events are applied, and no more came", now_us)
         if self._is_within_lease(now_us):
             return True
         if self._waiting_since_us is None:
@@ -134,6 +140,18 @@
         age_us = self.age_us(now_us)
         return age_us is not None and age_us <= LIST_LEASE_US
 
+    def _has_settled(self, now_us: int) -> bool:
+        """Return whether a new connection has brought events and then nothing more."""
+        if self.state is not FeedState.JOINED or self._event_applied_at_us is None:
+            return False
+        return self._unhandled_since_us is None and now_us - self._event_applied_at_us >= JOIN_SETTLE_US
+
+    def next_check_at_us(self) -> int:
+        """Return when requests that may not be sent now should ask again, if no input comes before."""
+        if self.state is FeedState.JOINED and self._event_applied_at_us is not None:
+            return min(self.wait_ends_at_us(), self._event_applied_at_us + JOIN_SETTLE_US)
+        return self.wait_ends_at_us()
+
     def wait_ends_at_us(self) -> int:
         """Return until when requests wait at most that may not be sent now."""
         if self._confirmed_at_us is None:
@@ -149,7 +167,8 @@
         """
         if self.state is FeedState.NOT_FOLLOWED or self._overdue_until_current:
             return True
-        return self._confirmed_at_us is not None or now_us >= self.wait_ends_at_us()
+        is_confirmed = self._confirmed_at_us is not None or self._has_settled(now_us)
+        return is_confirmed or now_us >= self.wait_ends_at_us()
 
     def _last_confirmed_us(self, now_us: int) -> int | None:
         if self.state is not FeedState.CURRENT:
@@ -185,12 +204,14 @@
     def on_joined(self, now_us: int) -> None:
         """Record a connection that has brought its first bytes."""
         self._refused_since_us = None
+        self._event_applied_at_us = None
+        self._unhandled_since_us = None
         self.announced_index = 0
         self._enter(FeedState.JOINED, "first bytes received", now_us)
 
     def on_input(self, now_us: int) -> None:
         """Record bytes of the feed that are not applied yet, received or partly received at `now_us`."""
-        if self.state is FeedState.CURRENT and self._unhandled_since_us is None:
+        if self._unhandled_since_us is None:
             self._unhandled_since_us = now_us
 
     def on_input_applied(self, now_us: int) -> None:
@@ -221,6 +242,8 @@
 
     def on_applied(self, applied_index: int, now_us: int) -> None:
         """Record that events are applied up to an index."""
+        if self.state is FeedState.JOINED and self.announcement_limit_us is None:
+            self._event_applied_at_us = now_us
         if self.state is FeedState.BEHIND and applied_index >= self.announced_index:
             self._become_current("all announced events are applied", now_us)
 
@@ -229,6 +252,7 @@
         self._is_connected = False
         if self.state is FeedState.CURRENT:
             self._leave_current(heard_at_us)
+        self._unhandled_since_us = None
         self._enter(FeedState.LOST, reason, now_us)
 
     def on_refused(self, now_us: int) -> None:
--- a/onyxwick/core/feed_gate.py
+++ b/onyxwick/core/feed_gate.py
@@ -55,7 +55,7 @@
 
     def _set_timer(self) -> None:
         now_us = self.now()
-        delay_us = max(MIN_TIMER_US, self.freshness.wait_ends_at_us() - now_us)
+        delay_us = max(MIN_TIMER_US, self.freshness.next_check_at_us() - now_us)
         self._timer = asyncio.get_running_loop().call_later(delay_us / US_PER_S, self._on_timer)
 
     def _on_timer(self) -> None:
--- a/tests/test_feed_freshness.py
+++ b/tests/test_feed_freshness.py
@@ -5,6 +5,7 @@
 import random
 
 from onyxwick.core.feed_freshness import (
+    JOIN_SETTLE_US,
     LIST_LEASE_US,
     RECONNECT_CONNECTED_WAIT_US,
     RECONNECT_WAIT_US,
@@ -62,6 +63,20 @@
     assert running.may_send(waiting_us + RECONNECT_CONNECTED_WAIT_US)
 
 
+# Guards against: requests wait up to a second for the last index, though the events have come.
+def test_events_and_then_silence_on_a_new_connection_confirm_the_list() -> None:
+    freshness = _started()
+    freshness.on_joined(NOW_US)
+    freshness.on_input(NOW_US)
+    freshness.on_applied(8, NOW_US)
+    assert not freshness.may_send(NOW_US + JOIN_SETTLE_US)  # there is more to apply
+    freshness.on_input_applied(NOW_US + 1000)
+    assert freshness.next_check_at_us() == NOW_US + JOIN_SETTLE_US
+    assert not freshness.may_send(NOW_US + JOIN_SETTLE_US - 1)
+    assert freshness.is_ready(NOW_US + JOIN_SETTLE_US)
+    assert freshness.may_send(NOW_US + JOIN_SETTLE_US) and freshness.is_confirmed()
+
+
 # Guards against: a coordinator that is away keeps directors from serving.
 def test_a_refused_connection_ends_the_wait_of_a_start_once_it_lasts() -> None:
     freshness = _started()
