An index that is announced and never sent drops no event

An announcement whose event was missing on four connections moved the director's last index there: one wrong number, within the bounds of an index, would have made it drop every event up to that number. Change: such an announcement is doubted and logged; the last index stays, and the event is applied if it comes. A lower announcement ends the doubt. Failure before: test_an_announced_event_that_never_comes_is_doubted_and_applied_if_it_comes (last index 1, the event dropped).

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -21,7 +21,7 @@
 
 A drain must be followed 0.5 s after the coordinator was notified of it; the rest is for the way to a cache.
 """
-START_WAIT_US = 2_500_000
+START_WAIT_US = 2_200_000
 """Longest wait of a start for the feed: with the interpreter's own start, a director without a coordinator is
 ready within 3 s."""
 START_CONNECTED_WAIT_US = 5_000_000
--- a/onyxwick/net/coordinator_feed.py
+++ b/onyxwick/net/coordinator_feed.py
@@ -89,6 +89,7 @@
         self.initial_delay_us = 0
         self.last_index = 0  # index of the last event applied or skipped
         self.announced_index = 0  # the index last announced on a line without an event
+        self.doubted_index = 0  # announced on several connections, while its event never came
         self.on_line: Callable[[], None] | None = None
         self.sock: socket.socket | None = None  # socket of the connection that receives lines
         self.race: FeedRace | None = None  # while a connection is being established
@@ -214,15 +215,20 @@
     def _on_announced_index(self, index: int) -> None:
         """Record the feed's last index.
 
-        Raises FeedConnectionError if an event was not received that an earlier line announced.
+        Raises FeedConnectionError if an event was not received that an earlier line announced. After several
+        connections the announcement is taken for an error: no event is skipped because of it.
         """
-        if self.last_index < self.announced_index:
-            self._skip_missing(self.announced_index + 1)
+        if index < self.doubted_index:
+            self.doubted_index = 0
+        if self.last_index < self.announced_index and self.doubted_index < self.announced_index:
+            self.missing.skip(self.last_index + 1, self.announced_index + 1)
+            self.doubted_index = self.announced_index
         self.announced_index = index
-        if self.last_index >= index:
+        has_all = self.last_index >= index or self.doubted_index >= index
+        if has_all:
             self.missing.connections = 0
             self.stamps.mark_caught_up(self.core.now())
-        self.report.announced(index, self.last_index)
+        self.report.announced(index, index if has_all else self.last_index)
 
     # ---- connection --------------------------------------------------------------------------------------
 
@@ -297,10 +303,7 @@
         raise FeedConnectionError("the feed's address has changed")
 
     def _receive(self, sock: socket.socket) -> None:
-        """Read once from the socket.
-
-        Raises FeedConnectionError at the end of the stream, and BlockingIOError if nothing is to be read.
-        """
+        """Read once. Raises FeedConnectionError at the end, BlockingIOError if nothing is to be read."""
         if not self.buffer.receive_available(sock):
             raise FeedConnectionError("connection closed by the coordinator")
         self.report.received()
