A probe goes on until a peer has acknowledged; refusals confirm a list that was complete

Change: a connection counts once its greeting is acknowledged (TIOCOUTQ); a refusal renews a lease that has not expired, else it has to last for 0.5 s, as at a start. Failure before: the new lines of test_a_feed_lost_before_a_stop_is_waited_for_after_it.

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -27,9 +27,10 @@
 START_CONNECTED_WAIT_US = 5_000_000
 """Longest wait of a start while a connection to the coordinator is established: it is there, and may be
 answering a whole fleet that has just started. A director must be ready within 6 s."""
-START_REFUSED_US = 500_000
-"""A start accepts that the coordinator is not running once its connections were refused for this long. A
-coordinator that is only being restarted, and was told of an event before, is back by then."""
+REFUSED_SETTLE_US = 500_000
+"""A start, or a director whose lease had expired, accepts that the coordinator is not running once its
+connections were refused for this long. A coordinator that is only being restarted, and was told of an event
+before, is back by then."""
 JOIN_SETTLE_US = 100_000
 """A new connection that brought events, and then nothing for this long, has brought all: the coordinator
 sends what it has at once, and tells its last index up to a second later."""
@@ -260,7 +261,9 @@
         self._is_connected = False
         if self._refused_since_us is None:
             self._refused_since_us = now_us
-        if self._confirmed_at_us is None and now_us - self._refused_since_us < START_REFUSED_US:
+        confirmed_at_us = self._last_confirmed_us(now_us)
+        was_complete = confirmed_at_us is not None and now_us - confirmed_at_us <= LIST_LEASE_US
+        if not was_complete and now_us - self._refused_since_us < REFUSED_SETTLE_US:
             return
         self._confirmed_at_us = now_us
         self._end_wait()
--- a/onyxwick/net/feed_race.py
+++ b/onyxwick/net/feed_race.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 
 from onyxwick.config.address import Address
-from onyxwick.net.socket_state import unread_bytes, wait_readable
+from onyxwick.net.socket_state import in_flight_bytes, unread_bytes, wait_readable
 
 MAX_CONCURRENT_CONNECTIONS = 4
 """At most this many connections are raced beside the probe: the oldest is stopped before the number is
@@ -39,12 +39,9 @@
 class PendingConnection:
     """One connection, from connecting until its first byte is received."""
 
-    def __init__(
-        self, address: Address, greeting: Callable[[], bytes], on_established: Callable[[], None]
-    ) -> None:
+    def __init__(self, address: Address, greeting: Callable[[], bytes]) -> None:
         self.address = address
         self.greeting = greeting
-        self.on_established = on_established
         self.started_s = time.monotonic()
         self.is_established = False
         self.received = False
@@ -60,7 +57,6 @@
         await loop.sock_connect(sock, self.address)
         await loop.sock_sendall(sock, self.greeting())
         self.is_established = True
-        self.on_established()
         await wait_readable(loop, sock)
         self.received = True
 
@@ -71,6 +67,14 @@
         if self.sock is not None and self.sock is not winner:
             self.sock.close()
 
+    def is_acknowledged(self) -> bool:
+        """Return whether the peer has acknowledged the greeting.
+
+        A peer whose queue is full drops the end of the handshake: the connection is established on this side
+        alone, and the system repeats the greeting ever more rarely.
+        """
+        return self.is_established and self.sock is not None and in_flight_bytes(self.sock) == 0
+
     def is_slow(self, now_s: float) -> bool:
         """Return whether another connection should be started in parallel."""
         return now_s - self.started_s > (FIRST_LINE_LIMIT_S if self.is_established else CONNECT_LIMIT_S)
@@ -85,19 +89,19 @@
 class FeedRace:
     """Races connections to one address; the first connection that receives bytes wins.
 
-    `greeting` returns the bytes that are written on each connection once it is established, and
-    `on_established` is called then.
+    `greeting` returns the bytes that are written on each connection once it is established;
+    `on_acknowledged` is called once a peer has acknowledged them.
     """
 
     def __init__(
         self,
         address: Address,
         greeting: Callable[[], bytes],
-        on_established: Callable[[], None] = lambda: None,
+        on_acknowledged: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = address
         self.greeting = greeting
-        self.on_established = on_established
+        self.on_acknowledged = on_acknowledged
         self.attempts: list[PendingConnection] = []  # oldest first
         self.newest: PendingConnection | None = None
         self.probe: PendingConnection | None = None
@@ -110,6 +114,8 @@
                 await self._drop_failed()
                 await self._start_another()
                 await self._renew_probe()
+                if any(attempt.is_acknowledged() for attempt in self._all_attempts()):
+                    self.on_acknowledged()
                 tasks = {attempt.task for attempt in self._all_attempts()}
                 await asyncio.wait(tasks, timeout=CHECK_INTERVAL_S, return_when=asyncio.FIRST_COMPLETED)
         except BaseException:
@@ -158,7 +164,7 @@
         await self._add(self._connect())
 
     def _connect(self) -> PendingConnection:
-        return PendingConnection(self.address, self.greeting, self.on_established)
+        return PendingConnection(self.address, self.greeting)
 
     async def _add(self, attempt: PendingConnection) -> None:
         if len(self.attempts) >= MAX_CONCURRENT_CONNECTIONS:
@@ -167,13 +173,13 @@
         self.attempts.append(attempt)
 
     async def _renew_probe(self) -> None:
-        """Keep an established probe as a connection of its own, and replace one that is not established."""
+        """Keep an acknowledged probe as a connection of its own, and replace one that is not acknowledged."""
         probe = self.probe
-        if probe is not None and probe.is_established:
+        if probe is not None and probe.is_acknowledged():
             self.probe = None
             await self._add(probe)
             return
-        if any(attempt.is_established for attempt in self.attempts):
+        if any(attempt.is_acknowledged() for attempt in self.attempts):
             return
         latest = probe or self.newest
         if latest is None or time.monotonic() - latest.started_s < PROBE_INTERVAL_S:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -407,6 +407,7 @@
     history.spans.append(Span(p.SoakFaultKind.FEED_LOST, 0, NOW - S, NOW + 5 * S))
     history.spans.append(Span(p.SoakFaultKind.FEED_SLOW, 0, NOW + 4 * S, NOW + 9 * S))
     history.spans.append(Span(p.SoakFaultKind.FEED_LOST, 1, NOW + S, NOW + 3 * S))
+    history.spans.append(Span(p.SoakFaultKind.FEED_ABSENT, 1, NOW + S // 2 + 1, NOW + 3 * S))
     history.record_notifications(records, 2)
     assert [purge.told_us for purge in records.purged if purge.group == 1][-2:] == [NOW + 7 * S, NOW]
 
