An overdue feed that can be reached again is waited for anew

Cause: the longest wait had been over during the cut, and stayed so although the coordinator could be reached again and had only not spoken yet. Change: the first acknowledged connection after the wait was over begins the wait anew (2.5 s at most, once in 10 s). A list that became complete by its event keeps that time for the next announcement: its age was counted from 0, and requests waited for nothing. Failure before: the two new tests of tests/test_feed_freshness.py.

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -40,6 +40,10 @@
 RECONNECT_CONNECTED_WAIT_US = 2_500_000
 """Longest wait of a running director's requests while a connection to the coordinator is established."""
 
+REOPEN_INTERVAL_US = 10_000_000
+"""An overdue feed that can be reached again is waited for anew at most this often, so that a coordinator
+which ends each connection does not keep requests waiting."""
+
 
 class FeedState(Enum):
     """What the director knows about its feed. The values appear in log lines and metrics."""
@@ -101,6 +105,7 @@
         self._unhandled_since_us: int | None = None  # since when input waits to be applied
         self._event_applied_at_us: int | None = None  # while JOINED: when the last event was applied
         self._is_connected = False  # a connection is established, and has not brought anything yet
+        self._reopened_at_us: int | None = None  # when an overdue feed was last waited for anew
         self._refused_since_us: int | None = None
         self._waiting_since_us: int | None = None  # since when requests wait, of a director that has started
         self._overdue_until_current = False
@@ -155,7 +160,7 @@
 
     def wait_ends_at_us(self) -> int:
         """Return until when requests wait at most that may not be sent now."""
-        if self._confirmed_at_us is None:
+        if self._confirmed_at_us is None and self._reopened_at_us is None:
             wait_us = START_CONNECTED_WAIT_US if self._is_connected else START_WAIT_US
             return self._started_at_us + wait_us
         wait_us = RECONNECT_CONNECTED_WAIT_US if self._is_connected else RECONNECT_WAIT_US
@@ -166,7 +171,8 @@
 
         Changes nothing, so that any thread may ask.
         """
-        if self.state is FeedState.NOT_FOLLOWED or self._overdue_until_current:
+        was_overdue = self._overdue_until_current or self._reopened_at_us is not None
+        if self.state is FeedState.NOT_FOLLOWED or was_overdue:
             return True
         is_confirmed = self._confirmed_at_us is not None or self._has_settled(now_us)
         return is_confirmed or now_us >= self.wait_ends_at_us()
@@ -198,9 +204,19 @@
         if self._waiting_since_us is not None:
             self._waiting_since_us += stalled_us
 
-    def on_connected(self) -> None:
-        """Record that a connection is established, which has not brought anything yet."""
+    def on_connected(self, now_us: int) -> None:
+        """Record that a connection is established, which has not brought anything yet.
+
+        A coordinator that can be reached again is waited for anew, though the longest wait was over.
+        """
+        if self._is_connected:
+            return
         self._is_connected = True
+        last_us = self._reopened_at_us
+        if self._overdue_until_current and (last_us is None or now_us - last_us >= REOPEN_INTERVAL_US):
+            self._reopened_at_us = now_us
+            self._end_wait()
+            self._enter(FeedState.LOST, "connected again, not heard yet", now_us)
 
     def on_joined(self, now_us: int) -> None:
         """Record a connection that has brought its first bytes."""
@@ -277,6 +293,7 @@
             return
         self._enter(FeedState.CURRENT, reason, now_us)
         self._confirmed_at_us = now_us
+        self._announced_at_us = now_us
         self._unhandled_since_us = None
         self._refused_since_us = None
         self._end_wait()
--- a/onyxwick/lab/machines.py
+++ b/onyxwick/lab/machines.py
@@ -351,8 +351,9 @@
             last = await self.begin(writer, last)
             while True:
                 changed = self.changed
-                await self.send(writer, self.events[last:])
-                last = max(last, len(self.events))
+                events = self.events[last:]
+                await self.send(writer, events)
+                last += len(events)
                 writer.write(self.last_index_line())
                 await writer.drain()
                 with contextlib.suppress(TimeoutError):
--- a/onyxwick/net/coordinator_feed.py
+++ b/onyxwick/net/coordinator_feed.py
@@ -269,9 +269,7 @@
         self.announced_index = 0
         self.buffer = ReceiveBuffer()
         self._is_line_dropped = False
-        self.race = FeedRace(
-            address, lambda: b"follow %d\n" % self.last_index, self.report.freshness.on_connected
-        )
+        self.race = FeedRace(address, lambda: b"follow %d\n" % self.last_index, self.report.connected)
         async with asyncio.timeout(None) as self._silence_limit:
             sock = await self.race.run()
         with sock:
--- a/onyxwick/net/feed_report.py
+++ b/onyxwick/net/feed_report.py
@@ -27,6 +27,10 @@
         self._is_joined = False
         self._received_at_us = 0
 
+    def connected(self) -> None:
+        """Record that a connection is established on both sides."""
+        self.freshness.on_connected(self.core.now())
+
     def received(self) -> None:
         """Record that the connection has bytes to read."""
         since_us = self._unread_since_us()
--- a/tests/test_feed_freshness.py
+++ b/tests/test_feed_freshness.py
@@ -50,13 +50,13 @@
 # Guards against: directors of a fleet that starts at once give up a coordinator that answers one by one.
 def test_a_coordinator_that_is_there_is_waited_for_longer() -> None:
     freshness = _started()
-    freshness.on_connected()
+    freshness.on_connected(NOW_US)
     assert not freshness.may_send(NOW_US + START_CONNECTED_WAIT_US - 1)
     assert not freshness.is_ready(NOW_US + START_CONNECTED_WAIT_US - 1)
     assert freshness.may_send(NOW_US + START_CONNECTED_WAIT_US)
     running = _current()
     running.on_lost(NOW_US, "closed", NOW_US)
-    running.on_connected()
+    running.on_connected(NOW_US)
     waiting_us = NOW_US + LIST_LEASE_US + 1
     assert not running.may_send(waiting_us)
     assert not running.may_send(waiting_us + RECONNECT_CONNECTED_WAIT_US - 1)
@@ -77,6 +77,31 @@
     assert freshness.may_send(NOW_US + JOIN_SETTLE_US) and freshness.is_confirmed()
 
 
+# Guards against: an overdue director goes on sending while a coordinator that is reachable again is late.
+def test_an_overdue_feed_that_is_reachable_again_is_waited_for_anew() -> None:
+    freshness = _started()
+    overdue_us = NOW_US + START_WAIT_US
+    assert freshness.may_send(overdue_us) and freshness.is_overdue
+    freshness.on_connected(overdue_us + 1000)
+    assert not freshness.may_send(overdue_us + 1000) and freshness.is_ready(overdue_us + 1000)
+    waited_us = overdue_us + 1000 + RECONNECT_CONNECTED_WAIT_US
+    assert not freshness.may_send(waited_us - 1)
+    assert freshness.may_send(waited_us) and freshness.is_overdue
+    freshness.on_lost(waited_us, "closed", waited_us)
+    freshness.on_connected(waited_us + 1000)
+    assert freshness.may_send(waited_us + 1000)  # not again so soon
+
+
+# Guards against: a list that its event made complete counts as never complete at the next announcement.
+def test_an_event_announced_right_after_another_has_the_age_of_the_complete_list() -> None:
+    freshness = _started()
+    freshness.on_joined(NOW_US)
+    freshness.on_announced(2, 1, NOW_US)
+    freshness.on_applied(2, NOW_US + 300_000)
+    freshness.on_announced(3, 2, NOW_US + 400_000)
+    assert freshness.age_us(NOW_US + 400_000) == 100_000 and freshness.may_send(NOW_US + 400_000)
+
+
 # Guards against: a coordinator that is away keeps directors from serving.
 def test_a_refused_connection_ends_the_wait_of_a_start_once_it_lasts() -> None:
     freshness = _started()
