A refused connection confirms no list that is known to lack an event

Cause: the rule that an absent coordinator is told nothing forgot what it was known to have. Change: while an announced event is missing, refusals confirm nothing; requests wait up to the bound. Failure before: test_a_refused_connection_confirms_no_list_that_is_known_to_lack_an_event.

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -104,6 +104,7 @@
         self._announced_at_us = 0  # when the last index was announced up to which all events were applied
         self._unhandled_since_us: int | None = None  # since when input waits to be applied
         self._event_applied_at_us: int | None = None  # while JOINED: when the last event was applied
+        self._is_event_missing = False  # an event was announced and is not applied, on any connection
         self._is_connected = False  # a connection is established, and has not brought anything yet
         self._reopened_at_us: int | None = None  # when an overdue feed was last waited for anew
         self._refused_since_us: int | None = None
@@ -255,6 +256,7 @@
             return
         if self.state is FeedState.CURRENT:
             self._leave_current(self._announced_at_us)
+        self._is_event_missing = True
         self._enter(FeedState.BEHIND, f"event {index} announced, {applied_index} applied", now_us)
 
     def on_applied(self, applied_index: int, now_us: int) -> None:
@@ -273,8 +275,13 @@
         self._enter(FeedState.LOST, reason, now_us)
 
     def on_refused(self, now_us: int) -> None:
-        """Record that the coordinator refused a connection. It is not running, and knows of no event."""
+        """Record that the coordinator refused a connection: it is not running, and is told of no event.
+
+        That confirms the list only if no event is known to be missing from it.
+        """
         self._is_connected = False
+        if self._is_event_missing:
+            return
         if self._refused_since_us is None:
             self._refused_since_us = now_us
         confirmed_at_us = self._last_confirmed_us(now_us)
@@ -292,6 +299,7 @@
         if self.state is FeedState.CURRENT:
             return
         self._enter(FeedState.CURRENT, reason, now_us)
+        self._is_event_missing = False
         self._confirmed_at_us = now_us
         self._announced_at_us = now_us
         self._unhandled_since_us = None
--- a/tests/test_feed_freshness.py
+++ b/tests/test_feed_freshness.py
@@ -137,6 +137,20 @@
     assert freshness.state is FeedState.ABSENT
 
 
+# Guards against: a coordinator that ends after it announced an event takes the list without it for complete.
+def test_a_refused_connection_confirms_no_list_that_is_known_to_lack_an_event() -> None:
+    freshness = _current()
+    freshness.on_announced(8, 7, NOW_US + 100_000)
+    freshness.on_lost(NOW_US + 200_000, "closed", NOW_US + 200_000)
+    freshness.on_refused(NOW_US + 300_000)
+    assert freshness.may_send(NOW_US + LIST_LEASE_US)
+    waiting_us = NOW_US + LIST_LEASE_US + 1
+    assert not freshness.may_send(waiting_us)
+    freshness.on_refused(waiting_us + 1_000_000)
+    assert not freshness.may_send(waiting_us + RECONNECT_WAIT_US - 1)
+    assert freshness.may_send(waiting_us + RECONNECT_WAIT_US)
+
+
 # Guards against: a director that stood still while its feed was lost sends at once when it wakes.
 def test_a_feed_lost_before_a_stop_is_waited_for_after_it() -> None:
     freshness = _current()
