A list that its event made complete counts from the announcement that it answered

Cause: complete from the moment in which the event was applied; the coordinator's word for it was as old as its announcement. Change: the announcement's time counts. Failure before: the new line of test_an_event_announced_right_after_another_has_the_age_of_the_complete_list.

--- a/onyxwick/core/feed_freshness.py
+++ b/onyxwick/core/feed_freshness.py
@@ -105,6 +105,7 @@
         self._unhandled_since_us: int | None = None  # since when input waits to be applied
         self._event_applied_at_us: int | None = None  # while JOINED: when the last event was applied
         self._is_event_missing = False  # an event was announced and is not applied, on any connection
+        self._missing_announced_at_us = 0  # when its index was announced
         self._is_connected = False  # a connection is established, and has not brought anything yet
         self._reopened_at_us: int | None = None  # when an overdue feed was last waited for anew
         self._refused_since_us: int | None = None
@@ -257,6 +258,7 @@
         if self.state is FeedState.CURRENT:
             self._leave_current(self._announced_at_us)
         self._is_event_missing = True
+        self._missing_announced_at_us = now_us
         self._enter(FeedState.BEHIND, f"event {index} announced, {applied_index} applied", now_us)
 
     def on_applied(self, applied_index: int, now_us: int) -> None:
@@ -265,6 +267,7 @@
             self._event_applied_at_us = now_us
         if self.state is FeedState.BEHIND and applied_index >= self.announced_index:
             self._become_current("all announced events are applied", now_us)
+            self._announced_at_us = self._missing_announced_at_us
 
     def on_lost(self, heard_at_us: int, reason: str, now_us: int) -> None:
         """Record the end of the connection. `heard_at_us`: nothing was outstanding on it up to this time."""
