--- a/review/6/case.py
+++ b/review/6/case.py
@@ -75,7 +75,10 @@
         whole = sum(call.status == 200 and call.body == BODY for call in calls)
         other = sum(call.status not in (0, 200) for call in calls)
         begun = sum(call.lost and bool(call.received) for call in calls)
-        untouched = sum(call.lost and not call.received for call in calls)
+        lost_calls = [
+            call for call in calls if call.lost and not call.received and not call.crossed_end(client.ended_s)
+        ]
+        untouched = len(lost_calls)
         lost += untouched
         text = f"client {number}: {whole} whole, {other} refused or failed, {begun} cut"
         text += f", {untouched} without a byte"
@@ -83,6 +86,11 @@
             after_s = client.ended_s - calls[0].sent_s
             text += f"; the director ended the connection, seen {after_s:.3f} s after the requests"
         record.add(text)
+        for call in calls:
+            took = f"{call.done_s - call.sent_s:.3f} s" if call.done_s else "never"
+            request_id = call.params["HTTP_X_REQUEST_ID"]
+            verdict = ", LOST" if call in lost_calls else ""
+            record.add(f"client {number}, {request_id}: status {call.status}, answered {took}{verdict}")
     for line in log.splitlines():
         if '"memory released"' in line:
             record.add(f"director: {line}")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -75,44 +75,57 @@
         await asyncio.sleep(1.0)
         if any(call.status != 200 for call in before):
             raise CaseError("the requests before the new plan were not served")
-        bookings = [send(client, "booking") for client in clients]
+        for client in clients:
+            send(client, "booking")
         await asyncio.sleep(0.1)
         if has_trouble():
             service.write_text(NEW_PLAN)
             signal_process(process, signal.SIGHUP)
             record.add("the service file has a plan without cell north; SIGHUP sent")
         await asyncio.sleep(0.3)
-        videos = [send(client, "site-video") for client in clients for _ in range(VIDEOS)]
+        for client in clients:
+            for _ in range(VIDEOS):
+                send(client, "site-video")
         await asyncio.sleep(AFTER_RELOAD_S)
-        late_bookings = [send(client, "booking") for client in clients]
+        for client in clients:
+            send(client, "booking")
         until_s = time.monotonic() + LATEST_S
         while any(client.open_count() for client in clients) and time.monotonic() < until_s:
             await asyncio.sleep(0.05)
-        return judge(record, deployment, [*bookings, *videos, *late_bookings])
+        return judge(record, deployment, clients, WARM_UP)
     finally:
         deployment.end()
 
 
-def judge(record: Record, deployment: Deployment, calls: list[Call]) -> bool:
-    """Record what came of each request, and whether one that a connection took got no answer.
+def judge(record: Record, deployment: Deployment, clients: list[Client], skipped: int) -> bool:
+    """Record what came of each request but the first `skipped`, and whether a taken one got no answer.
 
-    What a client sends after its connection's end isn't taken, so it isn't counted.
+    Not counted: what a client would have sent after its connection's end, or sent 50 ms or less before it.
     """
     executed = {call.request_id for call in deployment.origin.calls}
     lost = 0
-    for call in calls:
-        request_id = call.params["HTTP_X_REQUEST_ID"]
-        is_lost = call.was_sent and (call.lost or not call.done_s)
-        lost += is_lost
-        text = f"{call.params['SCRIPT_NAME']} {request_id}: "
-        text += f"status {call.status}" if call.done_s else "no answer"
-        text += "" if call.was_sent else ", not taken: the connection had ended"
-        text += ", executed at the origin" if request_id in executed else ""
-        record.add(text + (", LOST" if is_lost else ""))
+    for client in clients:
+        for call in client.all_calls[skipped:]:
+            request_id = call.params["HTTP_X_REQUEST_ID"]
+            text = f"{call.params['SCRIPT_NAME']} {request_id}: "
+            if call.done_s:
+                text += f"status {call.status} after {call.done_s - call.sent_s:.3f} s"
+            elif not call.was_sent:
+                text += "not sent: the connection had ended"
+            elif call.crossed_end(client.ended_s):
+                text += f"no answer, sent {client.ended_s - call.sent_s:.3f} s before the end: not counted"
+            else:
+                lost += 1
+                text += "no answer, LOST"
+                text += (
+                    f", sent {client.ended_s - call.sent_s:.3f} s before the end" if client.ended_s else ""
+                )
+            text += ", executed at the origin" if request_id in executed else ""
+            record.add(text)
     for line in deployment.platform.log_text().splitlines():
         if "KeyError" in line or "plan of cells" in line:
             record.add(f"director: {line.strip()[:200]}")
-    record.add(f"requests lost: {lost} of {len(calls)}")
+    record.add(f"requests lost: {lost} of {sum(len(client.all_calls) - skipped for client in clients)}")
     return lost > 0
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -104,7 +104,7 @@
         until_s = time.monotonic() + LATEST_S + 0.2
         while client.open_count() and time.monotonic() < until_s:
             await asyncio.sleep(0.05)
-        lost = [call for call in client.all_calls if is_lost(call)]
+        lost = [call for call in client.all_calls if is_lost(call, client.ended_s)]
         record.add(f"tenant noisy: {noisy_sent} queries sent, {len(noisy.answered)} answered")
         record.add(f"tenant quiet: {quiet_sent} queries sent, {len(quiet.answered)} answered")
         for call in client.all_calls:
@@ -136,8 +136,10 @@
     return noisy_sent, quiet_sent
 
 
-def is_lost(call: Call) -> bool:
+def is_lost(call: Call, ended_s: float) -> bool:
     """Return whether a request got no final answer by half a second, and 50 ms, after its time."""
+    if not call.was_sent or (call.lost and call.crossed_end(ended_s)):
+        return False
     return call.lost or not call.done_s or call.done_s - call.sent_s > LATEST_S
 
 
--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -33,6 +33,7 @@
 START_LIMIT_S = 30.0
 PORTS = (20_000, 32_000)  # below the ports that the system gives to outgoing connections
 MAX_PORT_TRIES = 1000
+CROSSING_S = 0.05  # PROTOCOL: a request that crosses a close within 50 ms is sent again
 HEADER = struct.Struct(">BBHHBx")
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
 
@@ -481,6 +482,13 @@
     """The connection ended without a whole answer."""
     done_s: float = 0.0
 
+    def crossed_end(self, ended_s: float) -> bool:
+        """Return whether the request was sent too late to be lost by the connection's end at `ended_s`.
+
+        A request that crosses a close within 50 ms is sent again.
+        """
+        return bool(ended_s) and ended_s - self.sent_s <= CROSSING_S
+
     @property
     def status(self) -> int:
         """Return the answer's status; 0 without one, 503 for the protocol status OVERLOADED."""
@@ -843,11 +851,12 @@
     except Exception as error:  # whatever went wrong, the case did not run
         record.add(f"the case could not run: {error!r}")
         traceback.print_exc()
-    verdicts = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "did not run"}
-    record.add(verdicts[status])
-    record.write()
-    for line in record.lines[-2:]:
-        print(line.strip())
+    finally:
+        verdicts = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "did not run"}
+        record.add(verdicts[status])
+        record.write()
+        for line in record.lines[-2:]:
+            print(line.strip())
     sys.exit(status)
 
 
