--- a/onyxwick/core/memory_account.py
+++ b/onyxwick/core/memory_account.py
@@ -4,9 +4,9 @@
 are really held: the capacity of buffers, and an amount for the objects around them. Limits of one connection,
 request or reply do not bound their sum; this account does. It has two thresholds, each with one action:
 
-- above `RECLAIM_SHARE` of the limit, holders that make no progress are released, the largest first, until
-  `RECLAIMED_SHARE` is reached;
-- above the limit, requests and answers that would be held are rejected.
+- above `RECLAIM_SHARE` of the limit, memory is released until `RECLAIMED_SHARE` is reached: first what can
+  still be answered in another way, then holders that have stopped, with what they are owed;
+- requests are rejected above the limit, and large answers that would pass it are answered as failed.
 
 This module does no I/O. Sizes are bytes, times monotonic seconds. Model: the overload manager of Envoy.
 """
@@ -16,7 +16,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
 
 from onyxwick.counters import Counters
 
@@ -58,24 +57,19 @@
         self.held_bytes = 0
 
 
-class MemoryHolder(Protocol):
-    """A connection whose memory can be released."""
-
-    def release_memory(self, now_s: float) -> None:
-        """Release the memory that `Releasable` told of, and log the reason."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class Releasable:
     """Memory that one holder would release."""
 
-    holder: MemoryHolder
+    release: Callable[[float], None]
+    """Releases the memory at a monotonic time in seconds, and logs the reason."""
     kind: HeldKind
     size_bytes: int
     progress_at_s: float
     """When the holder last made progress."""
     opened_at_s: float
+    ends_answers: bool = False
+    """Whether the release leaves requests without an answer, so that it comes after all others."""
 
 
 class MemoryAccount:
@@ -118,12 +112,13 @@
         """Return whether holders without progress are released, and large ones are given nothing more."""
         return self.total_bytes() > self._reclaim_at_bytes
 
-    def has_room(self, now_s: float) -> bool:
-        """Return whether the total is within the limit, once what can be released has been."""
-        if self.total_bytes() <= self.limit_bytes:
+    def has_room(self, now_s: float, added_bytes: int = 0) -> bool:
+        """Return whether the total stays within the limit with more bytes, once memory has been released."""
+        limit_bytes = self.limit_bytes - added_bytes
+        if self.total_bytes() <= limit_bytes:
             return True
         self.reclaim(now_s)
-        return self.total_bytes() <= self.limit_bytes
+        return self.total_bytes() <= limit_bytes
 
     def reclaim(self, now_s: float) -> None:
         """Release holders until the total is well below the threshold; do nothing while it is not reached."""
@@ -137,13 +132,13 @@
                 return
             total -= each.size_bytes
             self.counters.add(f"memory.released.{each.kind.value}")
-            each.holder.release_memory(now_s)
+            each.release(now_s)
         if total > self._reclaim_at_bytes:
             self._insufficient_at_s = now_s
             self.counters.add("memory.not_released")
 
 
-def _release_order(releasable: Releasable, now_s: float) -> tuple[bool, int, float]:
-    """Sort holders without progress first, then the largest, then the newest."""
+def _release_order(releasable: Releasable, now_s: float) -> tuple[bool, bool, int, float]:
+    """Sort what loses no answer first, then holders without progress, then the largest, then the newest."""
     makes_progress = now_s - releasable.progress_at_s < PROGRESS_GRACE_S
-    return makes_progress, -releasable.size_bytes, -releasable.opened_at_s
+    return releasable.ends_answers, makes_progress, -releasable.size_bytes, -releasable.opened_at_s
--- a/onyxwick/net/cache_connection.py
+++ b/onyxwick/net/cache_connection.py
@@ -306,7 +306,11 @@
         if self._held_bytes < MIN_RELEASED_BYTES:
             return None
         return Releasable(
-            self, HeldKind.CACHE_INPUT, self._held_bytes, self._progress_at_s, self._opened_at_s
+            self.release_memory,
+            HeldKind.CACHE_INPUT,
+            self._held_bytes,
+            self._progress_at_s,
+            self._opened_at_s,
         )
 
     def release_memory(self, now_s: float) -> None:
--- a/onyxwick/net/connection_memory.py
+++ b/onyxwick/net/connection_memory.py
@@ -1,13 +1,17 @@
 """The memory held for one client connection: what is accounted, and what is released when memory is needed.
 
 Partial requests are rejected as overloaded, which loses nothing: a request counts as taken once its last byte
-is received. Unread answers are released only with their connection. Sizes are bytes, times monotonic seconds.
+is received. Answers of which no byte is written yet are replaced by short ones that say that the request has
+failed. Only the connection of a client that has stopped reading is ended with answers that it is owed. Sizes
+are bytes, times monotonic seconds.
 """
 
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from onyxwick import logs
 from onyxwick.core import AnswerStatus, FinalAnswer
@@ -15,19 +19,20 @@
     MIN_RELEASED_BYTES,
     HeldKind,
     MemoryAccount,
-    MemoryHolder,
     Releasable,
 )
 from onyxwick.net import fastcgi
+from onyxwick.net.fastcgi_calls import encode_answer
 from onyxwick.net.fastcgi_parser import FastCgiParser
+from onyxwick.net.socket_state import in_flight_bytes
 from onyxwick.net.write_queue import WriteQueue
 
 log = logs.get()
 CONNECTION_BYTES = 8192
 """Memory accounted for a connection beside its buffers."""
-UNREAD_GRACE_S = 0.1
-"""A client that accepts no byte for this time can lose its unread answers. One that reads 1 MB a second
-accepts the 64 KB of one write within it."""
+STOPPED_AFTER_S = 1.0
+"""A client that acknowledges next to nothing for this time may lose its connection. One that reads slowly
+acknowledges in steps of up to a sixteenth of its receive buffer, or of one segment."""
 LARGE_ANSWER_BYTES = 4096
 """Answers up to this size are never replaced."""
 MAX_UNREAD_BYTES = 65_536
@@ -78,7 +83,7 @@
             return answer
         now_s = time.monotonic()
         self.account.reclaim(now_s)
-        if self.account.has_room(now_s) and self.writes.held_bytes <= MAX_UNREAD_BYTES:
+        if self.writes.held_bytes <= MAX_UNREAD_BYTES and self.account.has_room(now_s, len(answer.body)):
             return answer
         self.account.counters.add("answer.dropped")
         log.warning(
@@ -88,41 +93,84 @@
             unwritten=self.writes.pending_bytes,
             held=self.account.by_kind(),
         )
-        return replace(answer, status=AnswerStatus.FAILED, body=b"", etag="", not_modified=False)
+        return _as_failed(answer)
 
     # ---- release -----------------------------------------------------------------------------------------
 
-    def is_unread(self, now_s: float) -> bool:
+    def has_stopped(self, now_s: float) -> bool:
         """Return whether the client has stopped reading its answers."""
-        return self.writes.is_stalled(now_s, UNREAD_GRACE_S)
-
-    def releasable(self, holder: MemoryHolder, now_s: float, last_active_at_s: float) -> Releasable | None:
-        """Return what `holder`, the connection, would release; None if that is little."""
-        size = self.parser.releasable_bytes
-        kind = HeldKind.CLIENT_INPUT
-        progress_at_s = last_active_at_s
-        if self.is_unread(now_s):
-            size += self.writes.held_bytes
+        return self.writes.is_stalled(now_s, STOPPED_AFTER_S)
+
+    def releasable(
+        self,
+        shorten: Callable[[float], None],
+        end: Callable[[float], None],
+        now_s: float,
+        last_active_at_s: float,
+    ) -> list[Releasable]:
+        """Return what can be released: by rejecting and shortening, and by an end of the connection."""
+        writes = self.writes
+        offers = list[Releasable]()
+        input_bytes = self.parser.releasable_bytes
+        answer_bytes = writes.substitutable_bytes()
+        if input_bytes + answer_bytes >= MIN_RELEASED_BYTES:
+            kind = HeldKind.CLIENT_OUTPUT if answer_bytes > input_bytes else HeldKind.CLIENT_INPUT
+            progress_at_s = now_s - writes.progress.stopped_s(now_s) if answer_bytes else last_active_at_s
+            offers.append(
+                Releasable(shorten, kind, input_bytes + answer_bytes, progress_at_s, self.opened_at_s)
+            )
+        rest_bytes = writes.held_bytes - answer_bytes
+        if rest_bytes >= MIN_RELEASED_BYTES and self.has_stopped(now_s):
+            progress_at_s = writes.progress.since_s
             kind = HeldKind.CLIENT_OUTPUT
-            progress_at_s = self.writes.blocked_since_s
-        if size < MIN_RELEASED_BYTES:
-            return None
-        return Releasable(holder, kind, size, progress_at_s, self.opened_at_s)
+            offers.append(Releasable(end, kind, rest_bytes, progress_at_s, self.opened_at_s, True))
+        return offers
 
-    def reject_partial_calls(self, now_s: float, last_active_at_s: float) -> bytes:
-        """Drop all partial calls and return the records that reject them as overloaded."""
+    def log_release(self, now_s: float, last_active_at_s: float, ends: bool) -> None:
+        """Log that memory is released, with what tells a client that has stopped from a slow one."""
         log.warning(
             "memory released",
             connection=self.number,
+            ends=ends,
             partial_calls=len(self.parser.partial),
             input=self._input_bytes,
             unread=self.writes.held_bytes,
+            in_flight=in_flight_bytes(self.writes.sock) if self.writes.sock is not None else 0,
+            stopped_s=round(self.writes.progress.stopped_s(now_s), 3),
             idle_s=round(now_s - last_active_at_s, 3),
             open_s=round(now_s - self.opened_at_s, 3),
             held=self.account.by_kind(),
         )
+
+    def shorten_answers(self) -> None:
+        """Replace large answers of which no byte is written by failures."""
+        count = self.writes.substitute()
+        if count:
+            self.account.counters.add("answer.shortened", count)
+
+    def reject_partial_calls(self) -> bytes:
+        """Drop all partial calls and return the records that reject them as overloaded."""
         numbers = self.parser.release_partial_calls()
         self._account_input()
         self.account.counters.add("refused.memory", len(numbers))
         overloaded = fastcgi.ProtocolStatus.OVERLOADED
         return b"".join(fastcgi.encode_end_request(number, overloaded) for number in numbers)
+
+
+def _as_failed(answer: FinalAnswer) -> FinalAnswer:
+    """Return the failure that replaces an answer; it is right for any class, as the request may have run."""
+    return replace(answer, status=AnswerStatus.FAILED, body=b"", etag="", not_modified=False)
+
+
+def failure_in_place_of(number: int, answer: FinalAnswer) -> Callable[[], bytes] | None:
+    """Return a function that encodes the failure in place of a large answer to a call; None if it is small.
+
+    `number` is the FastCGI request number.
+    """
+    if answer.status is not AnswerStatus.SERVED or len(answer.body) <= LARGE_ANSWER_BYTES:
+        return None
+    return partial(_encode_failure, number)
+
+
+def _encode_failure(number: int) -> bytes:
+    return encode_answer(number, FinalAnswer(AnswerStatus.FAILED))
--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -345,16 +345,15 @@
             self.connections.pop(connection).cancel()
 
     def release(self, connection: FrontConnection, now_s: float) -> None:
-        """Close a connection whose memory is needed and which is owed nothing that it reads."""
-        if connection.writes.pending_bytes:
+        """Close a connection that is owed nothing, or whose client has stopped, as memory is needed."""
+        if connection.writes.pending_bytes or connection.open_calls:
             connection.begin_closing(ConnectionCloseReason.MEMORY_NEEDED)
             self.connections[connection].cancel()
         else:
             self._evict(connection, now_s, ConnectionCloseReason.MEMORY_NEEDED)
 
     def _releasable_memory(self, now_s: float) -> list[Releasable]:
-        offers = [each.releasable(now_s) for each in self.connections]
-        return [each for each in offers if each is not None]
+        return [offer for each in self.connections for offer in each.releasable(now_s)]
 
     async def _wait_for_evictions(self) -> None:
         """Wait until few evicted connections are open, as they use descriptors beyond those of the slots."""
--- a/onyxwick/net/front_connection.py
+++ b/onyxwick/net/front_connection.py
@@ -23,7 +23,7 @@
 from onyxwick.net.arrival_clock import ArrivalClock
 from onyxwick.net.call_intake import CallIntake, IntakePolicy
 from onyxwick.net.close_report import report_close, report_truncated_answer
-from onyxwick.net.connection_memory import ConnectionMemory
+from onyxwick.net.connection_memory import ConnectionMemory, failure_in_place_of
 from onyxwick.net.connection_slots import ConnectionSlot, exceeds_deadline
 from onyxwick.net.delivery import DeliveryTracker
 from onyxwick.net.errors import FastCgiFramingError
@@ -56,7 +56,7 @@
     next_connection_number: Callable[[], int]
 
     def release(self, connection: FrontConnection, now_s: float) -> None:
-        """Close a connection whose memory is needed and which is owed nothing that it reads."""
+        """Close a connection that is owed nothing, or whose client has stopped, as memory is needed."""
         ...
 
     def report_bad_input(self, text: str) -> None:
@@ -235,10 +235,14 @@
 
     def _answer(self, number: int, answer: FinalAnswer) -> None:
         del self.open_calls[number]
-        self.send(number, encode_answer(number, self.memory.limit_answer(answer)))
+        answer = self.memory.limit_answer(answer)
+        self.send(number, encode_answer(number, answer), failure_in_place_of(number, answer))
 
-    def send(self, number: int, data: bytes) -> None:
-        """Queue the answer to a call; it is dropped if the end of stream is already written."""
+    def send(self, number: int, data: bytes, make_substitute: Callable[[], bytes] | None = None) -> None:
+        """Queue the answer to a call; it is dropped if the end of stream is already written.
+
+        `make_substitute` returns a shorter answer, which may be sent instead while none of `data` is written.
+        """
         self.parser.open_requests.discard(number)
         if self.half_closed_at_s:
             return
@@ -249,7 +253,7 @@
             on_released = reservation.reserve_bytes(self.cell, len(data))
         if self.owner.shutdown is not None and not self.open_calls:
             on_released = partial(self._last_answer_written, on_released)
-        self.writes.post(PendingWrite(data, on_released=on_released))
+        self.writes.post(PendingWrite(data, on_released=on_released, make_substitute=make_substitute))
         if self._answer_posted is not None and not self._answer_posted.done():
             self._answer_posted.set_result(None)
 
@@ -351,22 +355,29 @@
 
     # ---- memory ------------------------------------------------------------------------------------------
 
-    def releasable(self, now_s: float) -> Releasable | None:
-        """Return the memory that the connection would release; None if it is closing or holds little."""
+    def releasable(self, now_s: float) -> list[Releasable]:
+        """Return the memory that the connection would release; none if it is closing or holds little."""
         if self.half_closed_at_s or self.close_reason is not None:
-            return None
-        return self.memory.releasable(self, now_s, self.last_active_at_s)
-
-    def release_memory(self, now_s: float) -> None:
-        """Reject all partial calls; close the connection if it has no open call or does not read answers."""
-        is_unread = self.memory.is_unread(now_s)
-        rejections = self.memory.reject_partial_calls(now_s, self.last_active_at_s)
-        if not is_unread and (self.open_calls or self.writes.pending_bytes):
-            self.writes.post(PendingWrite(rejections))
+            return []
+        return self.memory.releasable(self.shorten_memory, self.end_for_memory, now_s, self.last_active_at_s)
+
+    def shorten_memory(self, now_s: float) -> None:
+        """Reject partial calls, shorten answers that are not begun, and close if nothing else is owed."""
+        self.memory.log_release(now_s, self.last_active_at_s, ends=False)
+        self.memory.shorten_answers()
+        rejections = self.memory.reject_partial_calls()
+        # Bytes that are not read yet may complete a call, which is then owed an answer.
+        if self.open_calls or self.writes.pending_bytes or unread_bytes(self.sock):
+            if rejections:
+                self.writes.post(PendingWrite(rejections))
             return
-        if not is_unread:
-            with contextlib.suppress(OSError):
-                self.sock.send(rejections)
+        with contextlib.suppress(OSError):
+            self.sock.send(rejections)
+        self.owner.release(self, now_s)
+
+    def end_for_memory(self, now_s: float) -> None:
+        """Close the connection with the answers that its client has stopped to read."""
+        self.memory.log_release(now_s, self.last_active_at_s, ends=True)
         self.owner.release(self, now_s)
 
     # ---- connection slot ---------------------------------------------------------------------------------
--- a/onyxwick/net/write_queue.py
+++ b/onyxwick/net/write_queue.py
@@ -14,6 +14,7 @@
 from enum import Enum
 
 from onyxwick.core.memory_account import HeldBytes
+from onyxwick.net.peer_progress import PeerProgress
 from onyxwick.net.socket_state import wait_writable
 
 WRITE_BYTES = 256
@@ -38,13 +39,15 @@
     and `on_dropped` is called. `render` produces the bytes at that moment, and again on each later attempt to
     send them, so that a remaining time in them is current; until then `expected_bytes` is their estimated
     size. `on_started` is called once when the first bytes are written, and `on_released` once when the queue
-    no longer holds the bytes.
+    no longer holds the bytes. `make_substitute` returns shorter bytes that may be written instead while no
+    byte is written; None if there are none.
     """
 
     __slots__ = (
         "counted_bytes",
         "data",
         "is_still_wanted",
+        "make_substitute",
         "on_dropped",
         "on_released",
         "on_started",
@@ -62,6 +65,7 @@
         render: Callable[[], bytes] | None = None,
         expected_bytes: int = 0,
         on_started: Callable[[], None] | None = None,
+        make_substitute: Callable[[], bytes] | None = None,
     ) -> None:
         self.data = data
         self.is_still_wanted = is_still_wanted
@@ -69,6 +73,7 @@
         self.on_released = on_released
         self.render = render
         self.on_started = on_started
+        self.make_substitute = make_substitute
         self.counted_bytes = expected_bytes or len(data)  # its share of the queue's `pending_bytes`
         self.started_at_s = 0.0  # when its first byte was written, or 0
         self.progress = WriteProgress.WAITING
@@ -79,6 +84,7 @@
         self.on_dropped = None
         self.render = None
         self.on_started = None
+        self.make_substitute = None
 
 
 def _call_on_released(pending_write: PendingWrite) -> None:
@@ -105,16 +111,26 @@
     BATCH_BYTES = 65_536
 
     def __init__(self, sock: socket.socket | None, budget: HeldBytes) -> None:
-        self.sock = sock
+        self._sock = sock
+        self.progress = PeerProgress(sock)
         self.budget = budget
         self.queue: deque[PendingWrite] = deque()
         self.pending_bytes = 0  # posted and not yet written
-        self.blocked_since_s = 0.0  # since when the socket has accepted no bytes, or 0
         self.drained = asyncio.Event()
         self.drained.set()
         self._batch: list[PendingWrite] = []  # the writes being sent
         self._posted: asyncio.Future[None] | None = None
 
+    @property
+    def sock(self) -> socket.socket | None:
+        """The socket that is written to; None until the connection is established."""
+        return self._sock
+
+    @sock.setter
+    def sock(self, sock: socket.socket | None) -> None:
+        self._sock = sock
+        self.progress.sock = sock
+
     @property
     def held_bytes(self) -> int:
         """The memory accounted for the writes that are not finished."""
@@ -139,8 +155,23 @@
         return pending_write.progress is WriteProgress.DROPPED
 
     def is_stalled(self, now_s: float, limit_s: float) -> bool:
-        """Return whether the peer has accepted no bytes for longer than `limit_s`."""
-        return bool(self.blocked_since_s) and now_s - self.blocked_since_s > limit_s
+        """Return whether the peer has taken next to nothing for longer than `limit_s` while a write waits."""
+        return self.progress.stopped_s(now_s) > limit_s
+
+    def substitutable_bytes(self) -> int:
+        """Return the bytes of writes that are not begun and that `substitute` would shorten."""
+        return sum(each.counted_bytes for each in self.queue if each.make_substitute is not None)
+
+    def substitute(self) -> int:
+        """Replace the bytes of each write that is not begun and has a substitute. Return how many."""
+        count = 0
+        for pending_write in self.queue:
+            make_substitute = pending_write.make_substitute
+            if make_substitute is not None:
+                pending_write.make_substitute = None
+                self._set_data(pending_write, make_substitute())
+                count += 1
+        return count
 
     async def run(self) -> None:
         """Write until cancelled. Raises OSError if the connection fails."""
@@ -149,7 +180,7 @@
         assert sock is not None, "the connection must be established before the write queue runs"
         while True:
             if not self.queue:
-                self.blocked_since_s = 0.0
+                self.progress.clear()
                 self._posted = loop.create_future()
                 await self._posted
             self._next_batch()
@@ -164,14 +195,15 @@
         except (BlockingIOError, InterruptedError):
             written = 0
         if written:
-            self.blocked_since_s = 0.0
+            self.progress.clear()
         if written == len(data):
             self._finish_batch()
         elif rest := self._split_batch(written):
             del batch, data  # freed while the rest waits
             await self._write_rest(loop, sock, rest)
         else:  # no byte was accepted: the writes are checked again once the socket is writable
-            self.blocked_since_s = self.blocked_since_s or time.monotonic()
+            if not self.progress.since_s:
+                self.progress.mark(time.monotonic())
             await wait_writable(loop, sock)
 
     async def _write_rest(
@@ -179,9 +211,9 @@
     ) -> None:
         """Send the rest of a write that was sent in part; it is completed unless the connection fails."""
         for at in range(0, len(rest), self.BATCH_BYTES):
-            self.blocked_since_s = time.monotonic()
+            self.progress.mark(time.monotonic())
             await loop.sock_sendall(sock, rest[at : at + self.BATCH_BYTES])
-        self.blocked_since_s = 0.0
+        self.progress.clear()
         self._finish_batch()
 
     def _next_batch(self) -> None:
@@ -205,7 +237,10 @@
             self._batch.append(pending_write)
 
     def _render(self, pending_write: PendingWrite, render: Callable[[], bytes]) -> None:
-        pending_write.data = render()
+        self._set_data(pending_write, render())
+
+    def _set_data(self, pending_write: PendingWrite, data: bytes) -> None:
+        pending_write.data = data
         difference = len(pending_write.data) - pending_write.counted_bytes
         pending_write.counted_bytes += difference
         self.pending_bytes += difference
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -39,7 +39,13 @@
 
     def _releasable(self, now_s: float) -> list[Releasable]:
         return [
-            Releasable(_Holder(self, name), HeldKind.CLIENT_INPUT, size, now_s - idle_s, now_s - open_s)
+            Releasable(
+                _Holder(self, name).release_memory,
+                HeldKind.CLIENT_INPUT,
+                size,
+                now_s - idle_s,
+                now_s - open_s,
+            )
             for name, (size, idle_s, open_s) in self.held.items()
         ]
 
