--- a/onyxwick/admin/api.py
+++ b/onyxwick/admin/api.py
@@ -172,6 +172,8 @@
         token = data.get("token", tenant.token)
         if not isinstance(token, str) or (token and len(token) < MIN_TOKEN_CHARACTERS):
             raise HttpError(400, f"field 'token' is not a text of {MIN_TOKEN_CHARACTERS} characters or more")
+        if not _is_encodable(token):
+            raise HttpError(400, "field 'token' is not Unicode text")
         holder = self.tenants.tenant_of_token(token) if token else None
         if (holder is not None and holder is not tenant) or token == self.token:
             raise HttpError(400, "field 'token' cannot be used")
@@ -207,7 +209,7 @@
         if not isinstance(text, str) or not isinstance(routed, str | None):
             raise HttpError(400, "field 'text' or 'routed' is not a text")
         zone = read_zone(tenant.name, name, text, routed)
-        self.tenants.add_zone(zone)
+        self.tenants.add_outermost_zone(zone)
         return Answer(200 if exists else 201, _zone_data(zone))
 
     def _key(self, request: HttpRequest, tenant: Tenant, name: str) -> Answer:
@@ -225,6 +227,15 @@
         return Answer(204, None)
 
 
+def _is_encodable(text: str) -> bool:
+    """Return whether a text has an encoding; JSON may contain half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _require_method(request: HttpRequest, *methods: str) -> None:
     if request.method not in methods:
         raise HttpError(405, "method not allowed", {"Allow": ", ".join(methods)})
--- a/onyxwick/dns/query_handler.py
+++ b/onyxwick/dns/query_handler.py
@@ -24,7 +24,7 @@
 from onyxwick.dns import lookup, messages, update
 from onyxwick.dns.routed_names import RoutedNames
 from onyxwick.store.errors import StoreError
-from onyxwick.tenants import Tenants, TenantZone, read_zone
+from onyxwick.tenants import Tenants, TenantZone, read_accepted_zone
 
 if TYPE_CHECKING:
     from onyxwick.store.durable_state import DurableState
@@ -149,7 +149,7 @@
             # Queries read the copy while the commit is pending, although a change should become visible only
             # when it is durable.
             text = before.to_text(relativize=False)
-            zone.data = read_zone(zone.tenant, str(zone.name), text).data
+            zone.data = read_accepted_zone(zone.tenant, str(zone.name), text).data
         try:
             update.apply_update(zone, query)
             await self._make_durable(zone)
--- a/onyxwick/dns/update.py
+++ b/onyxwick/dns/update.py
@@ -110,6 +110,11 @@
     return bool(dns.serial.Serial(existing[0].serial) < dns.serial.Serial(change[0].serial))
 
 
+def _is_data_type(record_type: dns.rdatatype.RdataType) -> bool:
+    """Return whether records of a type can be data of a zone (RFC 2136, section 3.4.1.3)."""
+    return record_type != dns.rdatatype.NONE and not dns.rdatatype.is_metatype(record_type)
+
+
 def _check_in_zone(zone: TenantZone, name: dns.name.Name) -> None:
     _require(name.is_subdomain(zone.name), dns.rcode.NOTZONE)
     if zone.routed is not None and name.is_subdomain(zone.routed):
@@ -121,6 +126,9 @@
     """Apply an update. Raises UpdateError and leaves the zone unchanged if the update is rejected."""
     for rrset in (*message.prerequisite, *message.update):
         _check_in_zone(zone, rrset.name)
+    for change in message.update:
+        if change.deleting is None:
+            _require(_is_data_type(change.rdtype), dns.rcode.FORMERR)
     with zone.data.writer() as txn:
         for prerequisite in message.prerequisite:
             _check_prerequisite(txn, prerequisite)
--- a/onyxwick/hosting/durable_state.py
+++ b/onyxwick/hosting/durable_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from onyxwick import logs
+from onyxwick.config import ConfigError
 from onyxwick.config.service import ServiceConfig, StoreConfig
 from onyxwick.hosting.routers import RouterFactory
 from onyxwick.store.durable_state import DurableState
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from onyxwick.core import RequestEngine
+    from onyxwick.sites.operator_commands import SiteCommand
 
 log = logs.get()
 INSTALLATION_DIGEST_BYTES = 16
@@ -40,22 +42,38 @@
     durable.load_tenants(service_config.tenants)
     _restore_cell_plan(engine, durable, routers)
     if routers.sites is not None:
-        from onyxwick.sites.operator_commands import command_from_row
-
-        routers.sites.monitor.restore_commands([command_from_row(row) for row in durable.site_command_rows()])
+        routers.sites.monitor.restore_commands(_stored_site_commands(durable))
     return durable
 
 
+def _stored_site_commands(durable: DurableState) -> list[SiteCommand]:
+    """Return the stored operator commands for sites; one that is invalid is logged and left out."""
+    from onyxwick.sites.operator_commands import SiteCommandError, command_from_row
+
+    commands = []
+    for row in durable.site_command_rows():
+        try:
+            commands.append(command_from_row(row))
+        except SiteCommandError as error:
+            log.error("stored row not used", row=f"command for site {row.get('site')}", error=str(error))
+    return commands
+
+
 def _restore_cell_plan(engine: RequestEngine, durable: DurableState, routers: RouterFactory) -> None:
-    """Apply the stored plan of cells, if there is one.
+    """Apply the stored plan of cells, if there is one and it can be used.
 
     A plan that was changed by an administration call takes precedence over the file's plan, on which it is
-    based.
+    based. A plan that cannot be used is logged, and the file's plan applies.
     """
     stored = durable.cell_plan()
     if stored is None or routers.cells is None:
         return
+    from onyxwick.cells import CellPlanError
     from onyxwick.config.cells import plan_of_json
 
-    routers.cells.apply_plan(engine.now(), plan_of_json(stored.plan, stored.version))
+    try:
+        routers.cells.apply_plan(engine.now(), plan_of_json(stored.plan, stored.version))
+    except (ConfigError, CellPlanError) as error:
+        log.error("stored row not used", row="the plan of cells", error=str(error))
+        return
     log.info("plan of cells restored from store", version=routers.cells.plan.version)
--- a/onyxwick/service.py
+++ b/onyxwick/service.py
@@ -168,6 +168,8 @@
             raise ConfigError(str(error)) from None
         if changed:
             log.info("plan of cells changed", version=cells.plan.version)
+        if self.durable is not None:
+            self.durable.forget_cell_plan()
 
     # ---- background tasks ---------------------------------------------------------------------------------
 
--- a/onyxwick/store/durable_state.py
+++ b/onyxwick/store/durable_state.py
@@ -21,13 +21,15 @@
 from onyxwick.store.committer import Committer
 from onyxwick.store.encryption import SecretCipher
 from onyxwick.store.engine import StoreEngine, StoreLimits, Transaction, WriteOperation
-from onyxwick.store.errors import StoreError, StoreFailedError
+from onyxwick.store.errors import SecretUnreadableError, StoreError, StoreFailedError
 from onyxwick.store.files import StoreFiles
 from onyxwick.store.recovery import DrainSource, MemberDrain, RecordedPurge, Recovery, RecoveryPhase
 from onyxwick.store.row_schema import IdempotentCall, StoredPlan, StoredRow, pack_row, unpack_row
 from onyxwick.store.tenant_rows import (
+    UnusedRowError,
     add_tenant,
     deleted_tenant_key,
+    has_readable_secret,
     is_of_tenant,
     key_prefix,
     tenant_key,
@@ -68,6 +70,9 @@
         self.recovery.on_opened(now)
         self.cipher = cipher
         self.records_intents = records_intents
+        self._is_plan_replaced = False  # by a reload, which may come before `start`
+        self.unused_rows: dict[str, UnusedRowError] = {}
+        """Why rows of tenants could not be used at the start, by their keys."""
         try:
             self.engine = StoreEngine(files, limits, installation_id)
             self._replay(now)
@@ -96,6 +101,8 @@
     def start(self) -> None:
         """Start to accept commits. Must be called while the event loop is running."""
         self.committer = Committer(self.engine)
+        if self._is_plan_replaced:
+            self.forget_cell_plan()
 
     async def close(self) -> None:
         """Write the pending commits and close the files."""
@@ -109,24 +116,50 @@
     def load_tenants(self, tenants: Tenants) -> int:
         """Replace tenants of the service file by stored ones, and remove tenants that an API call deleted.
 
-        Returns the number of stored and deleted tenants. Raises StoreUnusableError or TenantError for an
-        invalid row.
+        Returns the number of stored and deleted tenants. A row that cannot be used is logged and kept, and
+        the others are served. Raises SecretUnreadableError if the key file decrypts no secret at all.
         """
         deleted = [key.partition("/")[2] for key, _ in self._rows(deleted_tenant_key(""))]
-        for name in deleted:
-            if name in tenants.tenants:
-                tenants.remove(name)
-        stored = self._rows(tenant_key(""))
-        for key, row in stored:
-            name = key.partition("/")[2]
+        stored = {key.partition("/")[2]: row for key, row in self._rows(tenant_key(""))}
+        for name in (*deleted, *stored):  # all of them first: a zone may have moved from one to another
             if name in tenants.tenants:
                 tenants.remove(name)
+        for name, row in stored.items():
             parts = self._rows(zone_prefix(name)) + self._rows(key_prefix(name))
-            add_tenant(tenants, name, row, parts, self.cipher)
+            self._make_room(tenants, parts)
+            self.unused_rows |= add_tenant(tenants, name, row, parts, self.cipher)
+        self._report_unused_rows()
         return len(stored) + len(deleted)
 
+    def _make_room(self, tenants: Tenants, parts: Iterable[tuple[str, StoredRow]]) -> None:
+        """Remove zones of the service file's tenants that a stored tenant has as well."""
+        for key, _ in parts:
+            zone = tenants.zone_of_text(key.split("/", 2)[2]) if schema.row_kind(key) == "zone" else None
+            if zone is not None and self._row(tenant_key(zone.tenant)) is None:
+                log.error("zone of the service file not used", zone=str(zone.name), tenant=zone.tenant)
+                tenants.remove_zone(zone)
+
+    def _report_unused_rows(self) -> None:
+        """Log the rows that are not used. Raises SecretUnreadableError if no secret can be decrypted."""
+        errors = self.unused_rows.values()
+        unreadable = [error for error in errors if isinstance(error, SecretUnreadableError)]
+        if unreadable and not self._decrypts_any_secret():
+            raise unreadable[0]
+        for key, error in self.unused_rows.items():
+            log.error("stored row not used", row=key, error=str(error))
+
+    def _decrypts_any_secret(self) -> bool:
+        rows = self._rows(tenant_key("")) + self._rows("key/")
+        return any(has_readable_secret(key, row, self.cipher) for key, row in rows)
+
     def tenant_operations(self, name: str, tenant: Tenant | None) -> list[WriteOperation]:
-        """Return the operations to commit after a tenant was changed, or deleted if `tenant` is None."""
+        """Return the operations to commit after a tenant was changed, or deleted if `tenant` is None.
+
+        Rows that are not used stay as they are, unless the tenant is deleted or was not used itself.
+        """
+        if tenant is None or tenant_key(name) in self.unused_rows:
+            for key in [key for key in self.unused_rows if is_of_tenant(key, name)]:
+                del self.unused_rows[key]
         rows = tenant_rows(tenant, self.cipher) if tenant else {deleted_tenant_key(name): StoredRow()}
         operations = self._operations_for(tenant_prefixes(name), rows)
         return [operation for operation in operations if is_of_tenant(operation.key, name)]
@@ -137,7 +170,8 @@
         A row that differs only in the encrypted bytes of the same secret is not rewritten.
         """
         stored = {key: row for prefix in prefixes for key, row in self._rows(prefix)}
-        operations = [WriteOperation(key, None) for key in stored if key not in rows]
+        kept = rows.keys() | self.unused_rows.keys()
+        operations = [WriteOperation(key, None) for key in stored if key not in kept]
         for key, row in rows.items():
             if key not in stored or self._with_plain_secret(key, stored[key]) != self._with_plain_secret(
                 key, row
@@ -155,6 +189,12 @@
         row = self._row(schema.PLAN_KEY)
         return schema.plan_of_row(row) if row is not None else None
 
+    def forget_cell_plan(self) -> None:
+        """Delete the plan that an API call made, as a reload has replaced it by the service file's plan."""
+        self._is_plan_replaced = True
+        if self.committer is not None and self._row(schema.PLAN_KEY) is not None:
+            self._commit_in_background([WriteOperation(schema.PLAN_KEY, None)], "reload")
+
     def cell_plan_operation(self, plan: StoredPlan) -> WriteOperation:
         """Return the operation to commit after the plan was changed."""
         return WriteOperation(schema.PLAN_KEY, pack_row(schema.PLAN_KEY, schema.plan_row(plan)))
@@ -181,10 +221,10 @@
             self.failed_background_commits += 1
             log.warning("background commit failed", by=author, error=str(error))
 
-    def _commit_in_background(self, operations: list[WriteOperation]) -> None:
-        """Commit changes that the coordinator can send again, without waiting for the result."""
+    def _commit_in_background(self, operations: list[WriteOperation], author: str = "coordinator") -> None:
+        """Commit changes that can be received or made again, without waiting for the result."""
         if operations and self.committer is not None:
-            commit = self.commit_best_effort(operations, "coordinator")
+            commit = self.commit_best_effort(operations, author)
             task = asyncio.get_running_loop().create_task(commit)
             self.background_commits.add(task)
             task.add_done_callback(self.background_commits.discard)
--- a/onyxwick/store/encryption.py
+++ b/onyxwick/store/encryption.py
@@ -11,7 +11,7 @@
 
 from cryptography.fernet import Fernet, InvalidToken, MultiFernet
 
-from onyxwick.store.errors import StoreUnusableError
+from onyxwick.store.errors import SecretUnreadableError, StoreUnusableError
 
 
 class SecretCipher:
@@ -30,11 +30,11 @@
         return self.keys.encrypt(secret)
 
     def decrypt(self, encrypted: bytes, row_key: str) -> bytes:
-        """Decrypt the secret of a row. Raises StoreUnusableError if no key of the key file decrypts it."""
+        """Decrypt the secret of a row. Raises SecretUnreadableError if no key of the key file decrypts it."""
         try:
             return self.keys.decrypt(encrypted)
         except InvalidToken:
-            raise StoreUnusableError(f"{row_key}: no key of the key file decrypts it") from None
+            raise SecretUnreadableError(f"{row_key}: no key of the key file decrypts it") from None
 
     def reencrypt(self, encrypted: bytes) -> bytes:
         """Decrypt a secret and encrypt it again with the newest key."""
--- a/onyxwick/store/errors.py
+++ b/onyxwick/store/errors.py
@@ -13,6 +13,10 @@
     """The files cannot be opened without risk of data loss; the message states which data may be lost."""
 
 
+class SecretUnreadableError(StoreUnusableError):
+    """No key of the key file decrypts a row's secret."""
+
+
 class StoreBusyError(StoreError):
     """Another process has the store open."""
 
--- a/onyxwick/store/tenant_rows.py
+++ b/onyxwick/store/tenant_rows.py
@@ -6,10 +6,13 @@
 from collections.abc import Iterable
 
 from onyxwick.store.encryption import SecretCipher
+from onyxwick.store.errors import SecretUnreadableError
 from onyxwick.store.row_schema import StoredRow, StoredRows, row_kind
-from onyxwick.tenants import Tenant, Tenants, read_key, read_zone
+from onyxwick.tenants import Tenant, TenantError, Tenants, read_accepted_zone, read_key
 
 _ENCRYPTED_FIELDS = {"tenant": "token", "key": "secret"}  # the encrypted field of a row, by kind of row
+UnusedRowError = TenantError | SecretUnreadableError
+"""Why a stored row of a tenant is not used."""
 
 
 def tenant_key(name: str) -> str:
@@ -57,22 +60,37 @@
 
 def add_tenant(
     tenants: Tenants, name: str, row: StoredRow, parts: Iterable[tuple[str, StoredRow]], cipher: SecretCipher
-) -> None:
-    """Add a tenant from its main row and the rows of its zones and keys.
+) -> dict[str, UnusedRowError]:
+    """Add a tenant from its main row and the rows of its zones and keys, as far as they can be used.
 
-    Raises StoreUnusableError if a secret cannot be decrypted, and TenantError if a row is invalid.
+    Returns why rows are not used, by their keys. Without its main row a tenant has none of its parts.
     """
-    token = cipher.decrypt(row["token"], tenant_key(name)).decode() if row["token"] else ""
-    tenant = Tenant(name, float(row["quota_per_s"]), token)
-    tenants.add(tenant)
+    parts = list(parts)
+    try:
+        token = cipher.decrypt(row["token"], tenant_key(name)).decode() if row["token"] else ""
+        tenant = Tenant(name, float(row["quota_per_s"]), token)
+        tenants.add(tenant)
+    except (TenantError, SecretUnreadableError) as error:
+        return dict.fromkeys([tenant_key(name), *(key for key, _ in parts)], error)
+    unused = dict[str, UnusedRowError]()
     for key, part in parts:
-        kind, _, rest = key.partition("/")
-        part_name = rest.partition("/")[2]
-        if kind == "zone":
-            tenants.add_zone(read_zone(name, part_name, part["text"], part["routed"]))
-        elif kind == "key":
-            secret = cipher.decrypt(part["secret"], key)
-            tenant.add_key(*read_key(part_name, base64.b64encode(secret).decode()))
+        try:
+            _add_part(tenants, tenant, key, part, cipher)
+        except (TenantError, SecretUnreadableError) as error:
+            unused[key] = error
+    return unused
+
+
+def _add_part(tenants: Tenants, tenant: Tenant, key: str, part: StoredRow, cipher: SecretCipher) -> None:
+    """Add a zone or key of a tenant. Raises TenantError or SecretUnreadableError if it cannot be used."""
+    kind, _, rest = key.partition("/")
+    part_name = rest.partition("/")[2]
+    if kind == "zone":
+        zone = read_accepted_zone(tenant.name, part_name, part["text"], part["routed"])
+        tenants.add_accepted_zone(zone)
+    elif kind == "key":
+        secret = cipher.decrypt(part["secret"], key)
+        tenant.add_key(*read_key(part_name, base64.b64encode(secret).decode()))
 
 
 def with_plain_secret(key: str, row: StoredRow, cipher: SecretCipher) -> StoredRow:
@@ -83,4 +101,19 @@
     field = _ENCRYPTED_FIELDS.get(row_kind(key))
     if field is None or not row[field]:
         return row
-    return {**row, field: cipher.decrypt(row[field], key)}
+    try:
+        return {**row, field: cipher.decrypt(row[field], key)}
+    except SecretUnreadableError:
+        return row
+
+
+def has_readable_secret(key: str, row: StoredRow, cipher: SecretCipher) -> bool:
+    """Return whether a row has a secret that a key of the key file decrypts."""
+    field = _ENCRYPTED_FIELDS.get(row_kind(key))
+    if field is None or not row[field]:
+        return False
+    try:
+        cipher.decrypt(row[field], key)
+    except SecretUnreadableError:
+        return False
+    return True
--- a/onyxwick/tenants.py
+++ b/onyxwick/tenants.py
@@ -128,6 +128,14 @@
     """
     if len(text) > MAX_ZONE_CHARACTERS:
         raise TenantError(f"zone '{name}': longer than {MAX_ZONE_CHARACTERS} characters")
+    return read_accepted_zone(tenant, name, text, routed)
+
+
+def read_accepted_zone(tenant: str, name: str, text: str, routed: str | None = None) -> TenantZone:
+    """Parse a zone that was accepted before, of any length: its text may have been written out since.
+
+    Raises TenantError if the text or `routed` is invalid.
+    """
     origin = read_name(name)
     try:
         data = dns.zone.from_text(
@@ -157,6 +165,8 @@
         self.tenants: dict[str, Tenant] = {}
         self.zones: dict[dns.name.Name, TenantZone] = {}
         """The zones of all tenants by name; `nearest_zone` takes one step per label of the name."""
+        self._zones_below: dict[dns.name.Name, dict[str, int]] = {}
+        """For each name above zones, the number of zones below it by tenant."""
 
     def add(self, tenant: Tenant) -> None:
         """Add a tenant. Raises AlreadyExistsError for a known name, TenantError above MAX_TENANTS."""
@@ -168,8 +178,8 @@
 
     def remove(self, name: str) -> None:
         """Remove a tenant and its zones. Raises KeyError if there is no such tenant."""
-        for zone in self.tenants.pop(name).zones:
-            del self.zones[zone]
+        for zone in self.tenants.pop(name).zones.values():
+            self._remove_from_index(zone)
 
     def add_zone(self, zone: TenantZone) -> None:
         """Add a zone, or replace a zone of the same tenant.
@@ -177,22 +187,64 @@
         Raises AlreadyExistsError if the name is another tenant's zone or lies in one, and TenantError if the
         tenant already has MAX_ZONES zones.
         """
+        enclosing = self.nearest_zone(zone.name)
+        if enclosing is not None and enclosing.name != zone.name and enclosing.tenant != zone.tenant:
+            raise AlreadyExistsError(f"zone '{zone.name}' lies in another tenant's")
+        self.add_accepted_zone(zone)
+
+    def add_outermost_zone(self, zone: TenantZone) -> None:
+        """Add a zone like `add_zone`, but not around another tenant's zones, whatever the order of the calls.
+
+        Raises AlreadyExistsError if it encloses another tenant's zone, too.
+        """
+        if self._zones_below.get(zone.name, {}).keys() - {zone.tenant}:
+            raise AlreadyExistsError(f"zone '{zone.name}' encloses another tenant's")
+        self.add_zone(zone)
+
+    def add_accepted_zone(self, zone: TenantZone) -> None:
+        """Add a zone that was accepted before, whatever zones of other tenants lie around or below it.
+
+        Raises AlreadyExistsError if the name is another tenant's zone, and TenantError if the tenant already
+        has MAX_ZONES zones.
+        """
         tenant = self.tenants[zone.tenant]
         existing = self.zones.get(zone.name)
         if existing is not None and existing.tenant != zone.tenant:
             raise AlreadyExistsError(f"zone '{zone.name}' exists")
-        enclosing = self.nearest_zone(zone.name)
-        if enclosing is not None and enclosing.tenant != zone.tenant:
-            raise AlreadyExistsError(f"zone '{zone.name}' lies in another tenant's")
-        if existing is None and len(tenant.zones) >= MAX_ZONES:
-            raise TenantError(f"a tenant can have at most {MAX_ZONES} zones")
+        if existing is None:
+            if len(tenant.zones) >= MAX_ZONES:
+                raise TenantError(f"a tenant can have at most {MAX_ZONES} zones")
+            self._count_above(zone, 1)
         self.zones[zone.name] = zone
         tenant.zones[zone.name] = zone
 
     def remove_zone(self, zone: TenantZone) -> None:
         """Remove a zone. Raises KeyError if there is no such zone."""
-        del self.zones[zone.name]
         del self.tenants[zone.tenant].zones[zone.name]
+        self._remove_from_index(zone)
+
+    def _remove_from_index(self, zone: TenantZone) -> None:
+        del self.zones[zone.name]
+        self._count_above(zone, -1)
+
+    def _count_above(self, zone: TenantZone, change: int) -> None:
+        """Count a zone that is added (1) or removed (-1) at each name above it."""
+        name = zone.name
+        while name != dns.name.root and len(name):
+            name = name.parent()
+            counts = self._zones_below.setdefault(name, {})
+            counts[zone.tenant] = counts.get(zone.tenant, 0) + change
+            if not counts[zone.tenant]:
+                del counts[zone.tenant]
+            if not counts:
+                del self._zones_below[name]
+
+    def zone_of_text(self, text: str) -> TenantZone | None:
+        """Return the zone whose name is given as text; None if there is none."""
+        try:
+            return self.zones.get(read_name(text))
+        except TenantError:
+            return None
 
     def nearest_zone(self, name: dns.name.Name) -> TenantZone | None:
         """Return the nearest zone at or above a name; None if there is no such zone."""
