--- a/onyxwick/cells/limits.py
+++ b/onyxwick/cells/limits.py
@@ -13,7 +13,7 @@
     """A capacity (requests, connections, bytes) divided among cells.
 
     Each cell has a reserve that no other cell can use. The rest is shared, and one cell may take at most half
-    of it."""
+    of it. A cell that the plan has no more has no reserve; what it uses is lent until it is released."""
 
     def __init__(self, total: float, reserved_share: float, weights: Mapping[str, float]) -> None:
         """Reserve `reserved_share` (0 to 1) of `total` for the cells, in proportion to their weights."""
@@ -31,18 +31,23 @@
 
     def has_capacity(self, name: str, amount: float = 1.0) -> bool:
         """Return whether a cell may use `amount` more."""
-        used = self.used[name]
-        borrowed = used + amount - self.reserved[name]
+        used = self.used.get(name, 0.0)
+        reserved = self.reserved.get(name, 0.0)
+        borrowed = used + amount - reserved
         if borrowed <= 0:
             return True
-        additional = borrowed - max(0.0, used - self.reserved[name])
+        additional = borrowed - max(0.0, used - reserved)
         return borrowed <= self.shared_amount / 2 and self.lent + additional <= self.shared_amount
 
     def adjust(self, name: str, amount: float) -> None:
         """Add to a cell's use an amount that `has_capacity` allowed; a negative amount releases it."""
-        borrowed_before = max(0.0, self.used[name] - self.reserved[name])
-        self.used[name] = max(0.0, self.used[name] + amount)
-        self.lent += max(0.0, self.used[name] - self.reserved[name]) - borrowed_before
+        reserved = self.reserved.get(name, 0.0)
+        before = self.used.get(name, 0.0)
+        after = max(0.0, before + amount)
+        self.lent += max(0.0, after - reserved) - max(0.0, before - reserved)
+        self.used[name] = after
+        if not after and name not in self.reserved:
+            del self.used[name]
 
 
 class TenantRates:
--- a/onyxwick/cells/migrations.py
+++ b/onyxwick/cells/migrations.py
@@ -60,6 +60,8 @@
         """Advance every migration and return the transitions between phases."""
         transitions = []
         for name, migration in list(self.by_name.items()):
+            if self.by_name.get(name) is not migration:
+                continue  # deleted with an earlier one of this tick
             previous_phase = migration.phase
             if previous_phase not in ENDED:
                 migration.step(now, signals_of(migration))
--- a/onyxwick/cells/reservation.py
+++ b/onyxwick/cells/reservation.py
@@ -28,7 +28,7 @@
         return ReservedPool(total, self.plan.policy.reserved_share, weights)
 
     def _follow_plan(self) -> None:
-        """Rebuild the pools after a change of the plan, with the use counted for cells that still exist."""
+        """Rebuild the pools after a change of the plan, with all use that is counted, of former cells too."""
         if self.plan is self.cells.plan:
             return
         self.plan = self.cells.plan
@@ -37,8 +37,9 @@
 
     def _carry_over(self, previous: ReservedPool, total: int) -> ReservedPool:
         pool = self._new_pool(total)
-        for name in pool.used:
-            pool.adjust(name, previous.used.get(name, 0.0))
+        for name, used in previous.used.items():
+            if used:
+                pool.adjust(name, used)
         return pool
 
     def cell_of(self, tenant: str | None) -> str | None:
@@ -52,28 +53,40 @@
 
     def bytes_exhausted(self, cell: str) -> bool:
         """Return whether the unread answers of this cell's clients use all bytes available to the cell."""
+        self._follow_plan()
         return not self.bytes.has_capacity(cell)
 
     def reserve_bytes(self, cell: str, size: int) -> Callable[[], None]:
         """Count bytes for a cell and return a function that releases them."""
-        if cell in self.bytes.used:
-            self.bytes.adjust(cell, size)
+        self._follow_plan()
+        self.bytes.adjust(cell, size)
         return lambda: self._release_bytes(cell, size)
 
     def _release_bytes(self, cell: str, size: int) -> None:
         self._follow_plan()
-        if cell in self.bytes.used:
-            self.bytes.adjust(cell, -size)
+        self.bytes.adjust(cell, -size)
 
     def connect(self, cell: str) -> bool:
         """Count a connection; False if the cell's clients have all connections available to the cell."""
+        self._follow_plan()
         if not self.clients.has_capacity(cell):
             return False
         self.clients.adjust(cell, 1)
         return True
 
+    def current_cell(self, cell: str, cell_of_call: str) -> str:
+        """Return the cell that an open connection counts towards, which is `cell` while the plan has it.
+
+        If the plan has it no more, the connection counts towards the cell of its next call from now on, even
+        if that cell is full: a connection that was admitted stays."""
+        self._follow_plan()
+        if cell in self.plan.cells:
+            return cell
+        self.clients.adjust(cell, -1)
+        self.clients.adjust(cell_of_call, 1)
+        return cell_of_call
+
     def disconnect(self, cell: str) -> None:
         """Release a connection that has ended."""
         self._follow_plan()
-        if cell in self.clients.used:
-            self.clients.adjust(cell, -1)
+        self.clients.adjust(cell, -1)
--- a/onyxwick/net/call_intake.py
+++ b/onyxwick/net/call_intake.py
@@ -157,7 +157,7 @@
     def _reserve_in_cell(self, reservation: ConnectionReservation, tenant: str | None) -> bool:
         """Return whether the quota of the tenant's cell admits this connection and one more unread answer.
 
-        A connection counts towards the cell of its first call's tenant.
+        A connection counts towards the cell of its first call's tenant, as long as the plan has that cell.
         """
         connection = self.connection
         cell = reservation.cell_of(tenant)
@@ -168,6 +168,8 @@
                 connection.begin_closing(ConnectionCloseReason.SLOT_NEEDED)
                 return False
             connection.cell = cell
+        else:
+            connection.cell = reservation.current_cell(connection.cell, cell)
         return not reservation.bytes_exhausted(connection.cell)
 
     # ---- rejections --------------------------------------------------------------------------------------
--- a/onyxwick/net/front_connection.py
+++ b/onyxwick/net/front_connection.py
@@ -15,6 +15,7 @@
 from functools import partial
 from typing import Protocol
 
+from onyxwick import logs
 from onyxwick.core import ClientRequest, FinalAnswer, RequestLifecycle
 from onyxwick.core.memory_account import Releasable
 from onyxwick.core.reasons import ConnectionCloseReason
@@ -34,6 +35,7 @@
 from onyxwick.net.task_race import run_until_one_ends
 from onyxwick.net.write_queue import PendingWrite, WriteQueue
 
+log = logs.get()
 MAX_PROTOCOL_ERRORS = 16
 """After this many protocol errors a connection is closed."""
 PROTOCOL_ERROR_PAUSE_S = 0.02
@@ -44,6 +46,7 @@
 """`LINGER_S` is extended to at most this time while answers are still in flight."""
 PAUSE_READING_ABOVE_BYTES = 2_000_000
 """Reading from a connection pauses while it has more unwritten bytes than this."""
+INTERNAL_ERROR = "500 Internal Server Error"
 RECEIVE_BYTES = 65_536
 """The maximum size of one read while the connection is being closed."""
 US_PER_S = 1e6
@@ -192,8 +195,7 @@
         match message:
             case fastcgi.FastCgiCall():
                 self.complete_calls += 1
-                # Not an attribute: a cycle of references would keep the closed connection until a collection.
-                CallIntake(self, self.owner).handle(message)
+                self._handle_call(message)
             case fastcgi.FastCgiAbort(number):
                 lifecycle = self.open_calls.pop(number, None)
                 self.send(number, fastcgi.encode_end_request(number))
@@ -207,6 +209,19 @@
                 if stop_reading:
                     self.begin_closing(ConnectionCloseReason.BAD_INPUT)
 
+    def _handle_call(self, call: fastcgi.FastCgiCall) -> None:
+        """Answer, reject or start one call. An internal error fails this call and none of the others."""
+        try:
+            # Not an attribute: a cycle of references would keep the closed connection until a collection.
+            CallIntake(self, self.owner).handle(call)
+        except Exception:
+            number = call.request_number
+            if number in self.open_calls:
+                raise  # it may be under way, and then gets its answer or none
+            self.owner.counters.add("error.call")
+            log.exception("internal error in a call", connection=self.number)
+            self.send(number, fastcgi.encode_response(number, INTERNAL_ERROR, {}, b""))
+
     def protocol_error(self, text: str) -> None:
         """Count and log invalid input, and close the connection after `MAX_PROTOCOL_ERRORS`."""
         self.owner.report_bad_input(text)
