--- a/onyxwick/admin/api.py
+++ b/onyxwick/admin/api.py
@@ -6,29 +6,27 @@
 
 from __future__ import annotations
 
+import contextlib
 import hmac
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 import dns.rdatatype
 
 from onyxwick.admin.http_messages import Answer, HttpError, HttpRequest
+from onyxwick.background_work import BackgroundWork
 from onyxwick.config.service import MIN_TOKEN_CHARACTERS
 from onyxwick.counters import Counters
-from onyxwick.tenants import (
-    AlreadyExistsError,
-    Tenant,
-    TenantError,
-    Tenants,
-    TenantZone,
-    read_key,
-    read_name,
-    read_quota,
-    read_zone,
-)
-
-__all__ = ["AdminApi", "Answer", "ApiSection"]
+from onyxwick.tenant_errors import AlreadyExistsError, TenantError, TooManyCallsError
+from onyxwick.tenants import Tenant, Tenants, read_key, read_quota
+from onyxwick.zones import TenantZone, read_name, read_zone
 
+__all__ = ["AdminApi", "Answer", "ApiSection", "Caller"]
+
+CHARACTERS_PER_TOKEN = 8192
+"""A tenant pays for the text of a zone by its length, before and after names are written out."""
 TENANT_FIELDS = {"name", "quota_per_s", "token"}
 
 
@@ -40,6 +38,45 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who makes a call: a tenant, or the operator if `tenant` is None."""
+
+    tenant: Tenant | None
+
+    @property
+    def name(self) -> str:
+        """The tenant's name; empty for the operator."""
+        return self.tenant.name if self.tenant is not None else ""
+
+    def require_operator(self) -> None:
+        """Raise HttpError 403 if a tenant calls."""
+        if self.tenant is not None:
+            raise HttpError(403, "for the operator alone")
+
+    def may_change(self, tenant: str) -> bool:
+        """Return whether the caller may make calls for a tenant."""
+        return self.tenant is None or self.tenant.name == tenant
+
+    def charge(self, tokens: float) -> None:
+        """Charge work to the calling tenant; the operator's is free."""
+        if self.tenant is not None:
+            self.tenant.admin_quota.charge(tokens)
+
+
+@contextlib.contextmanager
+def _tenant_errors_as_http() -> Iterator[None]:
+    """Raise HttpError for what a tenant has set wrongly or may not set now."""
+    try:
+        yield
+    except AlreadyExistsError as error:
+        raise HttpError(409, str(error)) from None
+    except TooManyCallsError as error:
+        raise HttpError(429, str(error), {"Retry-After": "1"}) from None
+    except TenantError as error:
+        raise HttpError(400, str(error)) from None
+
+
 class AdminApi:
     """Answers calls about tenants and counters itself, and delegates others by the path's first segment.
 
@@ -53,72 +90,107 @@
         token: str,
         health: Callable[[], dict[str, object]],
         sections: Mapping[str, ApiSection | None] | None = None,
+        work: BackgroundWork | None = None,
     ) -> None:
         self.tenants = tenants
         self.counters = counters
         self.token = token
         self.health = health
+        self.work = work or BackgroundWork()
         self.sections = {name: section for name, section in (sections or {}).items() if section is not None}
 
-    def __call__(self, request: HttpRequest) -> Answer:
+    async def __call__(self, request: HttpRequest) -> Answer:
         """Answer one call. Raises HttpError if it is rejected."""
-        path = [part for part in request.path.split("/") if part]
-        if path == ["health"]:
-            _require_method(request, "GET")
-            return Answer(200, self.health())
-        caller = self._caller(request)
-        try:
-            return self._route(request, path, caller)
-        except AlreadyExistsError as error:
-            raise HttpError(409, str(error)) from None
-        except TenantError as error:
-            raise HttpError(400, str(error)) from None
+        if request.path_parts() == ["health"]:  # for everybody
+            return self.answer_health(request)
+        caller = self.authorize(request)
+        zone = await self.read_zone(request, caller)
+        return self.answer(request, caller, zone)
+
+    def answer(self, request: HttpRequest, caller: Caller, zone: TenantZone | None) -> Answer:
+        """Answer a call that `authorize` has returned the caller of, and `read_zone` the zone.
+
+        Raises HttpError if it is rejected.
+        """
+        with _tenant_errors_as_http():
+            return self._route(request, request.path_parts(), caller, zone)
+
+    def answer_health(self, request: HttpRequest) -> Answer:
+        """Answer a health call. Raises HttpError for another method than GET."""
+        _require_method(request, "GET")
+        return Answer(200, self.health())
+
+    async def read_zone(self, request: HttpRequest, caller: Caller) -> TenantZone | None:
+        """Parse the zone that a call brings, outside the event loop; None if it brings none.
+
+        The work is charged to the calling tenant. Raises HttpError if the zone is invalid.
+        """
+        match request.path_parts():
+            case ["tenants", tenant, "zones", name] if request.method == "PUT":
+                pass
+            case _:
+                return None
+        if tenant not in self.tenants.tenants or not caller.may_change(tenant):
+            return None  # `answer` rejects the call
+        data = request.json()
+        text = data.get("text")
+        routed = data.get("routed")
+        if not isinstance(text, str) or not isinstance(routed, str | None):
+            raise HttpError(400, "field 'text' or 'routed' is not a text")
+        caller.charge(len(text) // CHARACTERS_PER_TOKEN)
+        with _tenant_errors_as_http():
+            zone = await self.work.do(tenant, partial(read_zone, tenant, name, text, routed))
+        caller.charge(len(zone.text) // CHARACTERS_PER_TOKEN)
+        return zone
 
     # ---- authorization ----------------------------------------------------------------------------------
 
-    def _caller(self, request: HttpRequest) -> Tenant | None:
-        """Return the calling tenant, or None for the operator.
+    def authorize(self, request: HttpRequest) -> Caller:
+        """Return the caller.
 
         Raises HttpError 401 without a valid token, 429 if the tenant exceeds its rate.
         """
         scheme, _, token = request.headers.get("authorization", "").partition(" ")
         if scheme.lower() == "bearer" and token:
             if hmac.compare_digest(token.encode(), self.token.encode()):
-                return None
+                return Caller(None)
             if tenant := self.tenants.tenant_of_token(token):
                 if not tenant.admin_quota.take():
                     raise HttpError(429, "too many requests", {"Retry-After": "1"})
-                return tenant
+                return Caller(tenant)
         raise HttpError(401, "no valid token", {"WWW-Authenticate": "Bearer"})
 
-    def require_operator(self, request: HttpRequest) -> None:
-        """Raise HttpError 403 if the caller is not the operator, 401 without a valid token."""
-        _require_operator(self._caller(request))
-
     # ---- routing ----------------------------------------------------------------------------------------
 
-    def _route(self, request: HttpRequest, path: list[str], caller: Tenant | None) -> Answer:
+    def _route(
+        self, request: HttpRequest, path: list[str], caller: Caller, zone: TenantZone | None
+    ) -> Answer:
         match path:
             case ["counters"]:
-                _require_operator(caller)
+                caller.require_operator()
                 _require_method(request, "GET")
                 return Answer(200, dict(self.counters.counts))
             case ["tenants"]:
-                _require_operator(caller)
+                caller.require_operator()
                 return self._tenants(request)
             case [name, *rest] if name in self.sections:
-                _require_operator(caller)
+                caller.require_operator()
                 return self.sections[name](request, rest)
             case ["tenants", name, *rest]:
                 tenant = self.tenants.tenants.get(name)
-                if tenant is None or (caller is not None and caller is not tenant):
+                if tenant is None or not caller.may_change(name):
                     # A tenant must not learn whether another tenant exists.
                     raise HttpError(404, "no such tenant")
-                return self._route_tenant(request, rest, tenant, caller)
+                return self._route_tenant(request, rest, tenant, caller, zone)
         raise HttpError(404, "nothing here")
 
     def _route_tenant(
-        self, request: HttpRequest, path: list[str], tenant: Tenant, caller: Tenant | None
+        self,
+        request: HttpRequest,
+        path: list[str],
+        tenant: Tenant,
+        caller: Caller,
+        zone: TenantZone | None,
     ) -> Answer:
         match path:
             case []:
@@ -130,7 +202,7 @@
                 _require_method(request, "GET")
                 return Answer(200, {"zones": [str(name) for name in tenant.zones]})
             case ["zones", name]:
-                return self._zone(request, tenant, name)
+                return self._zone(request, tenant, name, zone)
             case ["keys"]:
                 _require_method(request, "GET")
                 return Answer(200, {"keys": [str(name) for name in tenant.keys]})
@@ -150,11 +222,11 @@
         self.tenants.add(tenant)
         return Answer(201, _tenant_data(tenant))
 
-    def _tenant(self, request: HttpRequest, tenant: Tenant, caller: Tenant | None) -> Answer:
+    def _tenant(self, request: HttpRequest, tenant: Tenant, caller: Caller) -> Answer:
         _require_method(request, "GET", "PATCH", "DELETE")
         if request.method == "GET":
             return Answer(200, _tenant_data(tenant))
-        _require_operator(caller)
+        caller.require_operator()
         if request.method == "DELETE":
             self.tenants.remove(tenant.name)
             return Answer(204, None)
@@ -190,27 +262,19 @@
 
     # ---- zones and keys ---------------------------------------------------------------------------------
 
-    def _zone(self, request: HttpRequest, tenant: Tenant, name: str) -> Answer:
+    def _zone(self, request: HttpRequest, tenant: Tenant, name: str, zone: TenantZone | None) -> Answer:
         _require_method(request, "GET", "PUT", "DELETE")
         existing = tenant.zones.get(read_name(name))
         if request.method == "PUT":
-            return self._put_zone(request, tenant, name, existing is not None)
+            assert zone is not None, "`read_zone` returns the zone of each call that puts one"
+            self.tenants.add_outermost_zone(zone)
+            return Answer(201 if existing is None else 200, _zone_data(zone))
         if existing is None:
             raise HttpError(404, "no such zone")
         if request.method == "DELETE":
             self.tenants.remove_zone(existing)
             return Answer(204, None)
-        return Answer(200, {**_zone_data(existing), "text": existing.data.to_text(relativize=False)})
-
-    def _put_zone(self, request: HttpRequest, tenant: Tenant, name: str, exists: bool) -> Answer:
-        data = request.json()
-        text = data.get("text")
-        routed = data.get("routed")
-        if not isinstance(text, str) or not isinstance(routed, str | None):
-            raise HttpError(400, "field 'text' or 'routed' is not a text")
-        zone = read_zone(tenant.name, name, text, routed)
-        self.tenants.add_outermost_zone(zone)
-        return Answer(200 if exists else 201, _zone_data(zone))
+        return Answer(200, {**_zone_data(existing), "text": existing.text})
 
     def _key(self, request: HttpRequest, tenant: Tenant, name: str) -> Answer:
         """Add, replace or delete a key. Secrets are accepted but never returned."""
@@ -218,11 +282,11 @@
         if request.method == "PUT":
             key, secret = read_key(name, request.json().get("secret"))
             exists = key in tenant.keys
-            if not exists and key in self.tenants.keyring():
+            if not exists and key in self.tenants.keys:
                 raise HttpError(409, "key exists")
-            tenant.add_key(key, secret)
+            self.tenants.add_key(tenant, key, secret)
             return Answer(200 if exists else 201, {"name": str(key)})
-        if tenant.keys.pop(read_name(name), None) is None:
+        if not self.tenants.remove_key(tenant, read_name(name)):
             raise HttpError(404, "no such key")
         return Answer(204, None)
 
@@ -241,11 +305,6 @@
         raise HttpError(405, "method not allowed", {"Allow": ", ".join(methods)})
 
 
-def _require_operator(caller: Tenant | None) -> None:
-    if caller is not None:
-        raise HttpError(403, "for the operator alone")
-
-
 def _tenant_data(tenant: Tenant) -> dict[str, object]:
     return {
         "name": tenant.name,
--- a/onyxwick/admin/durable_api.py
+++ b/onyxwick/admin/durable_api.py
@@ -9,9 +9,11 @@
 import asyncio
 import hashlib
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from onyxwick.admin.api import AdminApi, Answer
+import dns.name
+
+from onyxwick.admin.api import AdminApi, Answer, Caller
 from onyxwick.admin.cells import CellsApi
 from onyxwick.admin.http_messages import HttpError, HttpRequest
 from onyxwick.admin.sites import SitesApi
@@ -22,9 +24,9 @@
 from onyxwick.store import StoreError, WriteOperation
 from onyxwick.store.durable_state import DurableState
 from onyxwick.store.recovery import DrainSource, MemberDrain
-from onyxwick.store.row_schema import IdempotentCall, StoredPlan, StoredRow
-from onyxwick.store.tenant_rows import add_tenant, tenant_key, tenant_rows
-from onyxwick.tenants import Tenants
+from onyxwick.store.row_schema import IdempotentCall, StoredPlan
+from onyxwick.tenants import Tenant, Tenants
+from onyxwick.zones import TenantZone
 
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 64
 MAX_REASON_CHARACTERS = 256
@@ -43,19 +45,39 @@
 
 @dataclass(frozen=True, slots=True)
 class TenantBackup:
-    """A tenant's stored rows before a change; empty if the tenant did not exist."""
+    """A tenant's state in memory before a change; `tenant` is None if it did not exist."""
 
     name: str
-    rows: dict[str, StoredRow] = field(default_factory=dict)
-
-    def restore(self, tenants: Tenants, durable: DurableState) -> None:
+    tenant: Tenant | None
+    quota_per_s: float = 0.0
+    token: str = ""
+    zones: tuple[TenantZone, ...] = ()
+    keys: tuple[tuple[dns.name.Name, bytes], ...] = ()
+
+    @staticmethod
+    def of(name: str, tenant: Tenant | None) -> TenantBackup:
+        """Return the backup of a tenant, whose zones are replaced by a change and never changed in place."""
+        if tenant is None:
+            return TenantBackup(name, None)
+        zones = tuple(tenant.zones.values())
+        keys = tuple(tenant.keys.items())
+        return TenantBackup(name, tenant, tenant.quota.tokens_per_s, tenant.token, zones, keys)
+
+    def restore(self, tenants: Tenants) -> None:
         """Restore the tenant in memory to its state before the change."""
         if self.name in tenants.tenants:
             tenants.remove(self.name)
-        own_key = tenant_key(self.name)
-        if own_key in self.rows:
-            parts = [(key, row) for key, row in self.rows.items() if key != own_key]
-            add_tenant(tenants, self.name, self.rows[own_key], parts, durable.cipher)
+        if self.tenant is None:
+            return
+        self.tenant.quota.tokens_per_s = self.quota_per_s
+        self.tenant.token = self.token
+        self.tenant.zones.clear()
+        self.tenant.keys.clear()
+        tenants.add(self.tenant)
+        for zone in self.zones:
+            tenants.add_accepted_zone(zone)
+        for name, secret in self.keys:
+            tenants.add_key(self.tenant, name, secret)
 
 
 class DurableApi:
@@ -65,21 +87,36 @@
         self.api = api
         self.durable = durable
         self.core = core
-        self.lock = asyncio.Lock()
+        self._changes: set[asyncio.Task[Answer]] = set()
 
     async def __call__(self, request: HttpRequest) -> Answer:
         """Answer one call. Raises HttpError if it is rejected, with status 503 if it could not be made
         durable."""
-        path = [part for part in request.path.split("/") if part]
-        if path[:1] == ["drains"]:
-            self.api.require_operator(request)
-        elif request.method == "GET":
-            return self.api(request)
-        async with self.lock:
-            return await self._answer_once(request, path)
-
-    async def _answer_once(self, request: HttpRequest, path: list[str]) -> Answer:
-        identity = _identity_of(request)
+        path = request.path_parts()
+        if path == ["health"]:
+            return self.api.answer_health(request)
+        caller = self.api.authorize(request)
+        if path[:1] == ["drains"] or (path[:1] == ["sites"] and "sites" in self.api.sections):
+            caller.require_operator()
+        if request.method == "GET" and path[:1] != ["drains"]:
+            return self.api.answer(request, caller, None)
+        zone = await self.api.read_zone(request, caller)
+        # What the store commits must also apply, though the connection may end meanwhile.
+        change = asyncio.get_running_loop().create_task(self._change(request, path, caller, zone))
+        self._changes.add(change)
+        change.add_done_callback(self._changes.discard)
+        return await asyncio.shield(change)
+
+    async def _change(
+        self, request: HttpRequest, path: list[str], caller: Caller, zone: TenantZone | None
+    ) -> Answer:
+        async with self.durable.change_lock:
+            return await self._answer_once(request, path, caller, zone)
+
+    async def _answer_once(
+        self, request: HttpRequest, path: list[str], caller: Caller, zone: TenantZone | None
+    ) -> Answer:
+        identity = _identity_of(request, caller)
         if identity.key:
             done = self.durable.idempotent_call(identity.key)
             if done is not None:
@@ -91,7 +128,7 @@
         sites = self.api.sections.get("sites")
         if path[:2] == ["sites", "orders"] and len(path) == 3 and isinstance(sites, SitesApi):
             return await self._site_command(request, sites, path[2], identity)
-        return await self._apply_change(request, path, identity)
+        return await self._apply_change(request, path, identity, caller, zone)
 
     async def _commit(self, operations: list[WriteOperation], identity: CallIdentity, answer: Answer) -> None:
         now = time.time_ns() // 1000
@@ -105,23 +142,30 @@
 
     # ---- tenants and the cell plan ----------------------------------------------------------------------
 
-    async def _apply_change(self, request: HttpRequest, path: list[str], identity: CallIdentity) -> Answer:
+    async def _apply_change(
+        self,
+        request: HttpRequest,
+        path: list[str],
+        identity: CallIdentity,
+        caller: Caller,
+        zone: TenantZone | None,
+    ) -> Answer:
+        """Apply a change in memory and make it durable; undo it if that fails, whatever the reason."""
         tenants = self.api.tenants
         name = _tenant_name(request, path)
-        before = tenants.tenants.get(name)
-        backup = TenantBackup(name, tenant_rows(before, self.durable.cipher) if before else {})
+        backup = TenantBackup.of(name, tenants.tenants.get(name))
         control = self._plan_control()
         plan = control.plan if control is not None else None
-        answer = self.api(request)
-        operations = self.durable.tenant_operations(name, tenants.tenants.get(name)) if name else []
-        if control is not None and control.plan is not plan:
-            stored = StoredPlan(control.plan.version, json_of_plan(control.plan))
-            operations.append(self.durable.cell_plan_operation(stored))
+        answer = self.api.answer(request, caller, zone)
         try:
+            operations = self.durable.tenant_operations(name, tenants.tenants.get(name)) if name else []
+            if control is not None and control.plan is not plan:
+                stored = StoredPlan(control.plan.version, json_of_plan(control.plan))
+                operations.append(self.durable.cell_plan_operation(stored))
             await self._commit(operations, identity, answer)
-        except HttpError:
+        except BaseException:
             if name:
-                backup.restore(tenants, self.durable)
+                backup.restore(tenants)
             if control is not None and plan is not None and control.plan is not plan:
                 control.replace_plan(plan)
             raise
@@ -137,7 +181,6 @@
         self, request: HttpRequest, sites: SitesApi, site: str, identity: CallIdentity
     ) -> Answer:
         """Make an operator's command for a site durable, then apply it."""
-        self.api.require_operator(request)
         if request.method != "PUT":
             raise HttpError(405, "method not allowed", {"Allow": "PUT"})
         command = sites.read_command(request, site)
@@ -197,13 +240,16 @@
         return answer
 
 
-def _identity_of(request: HttpRequest) -> CallIdentity:
+def _identity_of(request: HttpRequest, caller: Caller) -> CallIdentity:
+    """Return the identity of a call; tenants have keys of their own. Raises HttpError for an invalid key."""
     key = request.headers.get("idempotency-key", "")
     if len(key) > MAX_IDEMPOTENCY_KEY_CHARACTERS or not key.isascii():
         raise HttpError(
             400, f"Idempotency-Key is not ASCII text of at most {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
         )
     digest = hashlib.blake2b(f"{request.method} {request.path}\n".encode() + request.body)
+    if key and caller.tenant is not None:
+        key = f"{caller.name}/{key}"
     return CallIdentity(key, digest.hexdigest()[:FINGERPRINT_DIGITS])
 
 
--- a/onyxwick/admin/http_messages.py
+++ b/onyxwick/admin/http_messages.py
@@ -66,6 +66,10 @@
     keep_alive: bool = True
     queued_s: float = 0.0
 
+    def path_parts(self) -> list[str]:
+        """Return the segments of the path that are not empty."""
+        return [part for part in self.path.split("/") if part]
+
     def json(self) -> dict[str, object]:
         """Parse the body as a JSON object. Raises HttpError 400 if it is not one."""
         try:
--- a/onyxwick/admin/http_server.py
+++ b/onyxwick/admin/http_server.py
@@ -107,7 +107,6 @@
 
     async def _serve(self, connection: socket.socket) -> None:
         """Serve one connection until it ends."""
-        loop = asyncio.get_running_loop()
         buffer = ReceiveBuffer()
         max_requests = 1 if self.one_call_per_connection else MAX_PIPELINED_REQUESTS
         parser = RequestParser(self.max_body_bytes, max_requests)
@@ -118,18 +117,23 @@
                 requests = parser.take()
                 if self.one_call_per_connection:
                     requests = requests[:1]
-                responses = [await self._respond(request) for request in requests]
+                for request in requests:  # one by one: a pipeline may ask for any amount of answers
+                    await self._send(connection, await self._respond(request))
+                    await asyncio.sleep(0)
                 # After the last response no further input is processed, and no rejection of it is sent.
-                is_last = self.one_call_per_connection and bool(responses)
+                is_last = self.one_call_per_connection and bool(requests)
                 if rejection is not None and not is_last:
                     error = {"error": rejection.text}
-                    responses.append(encode_response(rejection.status, error, close=True))
-                async with asyncio.timeout(self.call_timeout_s):
-                    await loop.sock_sendall(connection, b"".join(responses))
+                    await self._send(connection, encode_response(rejection.status, error, close=True))
                 keep_alive = all(request.keep_alive for request in requests)
                 if is_last or rejection is not None or not keep_alive:
                     return
 
+    async def _send(self, connection: socket.socket, response: bytes) -> None:
+        """Send a response. Raises TimeoutError if the caller does not accept it in time."""
+        async with asyncio.timeout(self.call_timeout_s):
+            await asyncio.get_running_loop().sock_sendall(connection, response)
+
     async def _receive(
         self, connection: socket.socket, buffer: ReceiveBuffer, parser: RequestParser
     ) -> HttpError | None:
--- a/onyxwick/config/service.py
+++ b/onyxwick/config/service.py
@@ -14,15 +14,9 @@
 from onyxwick.config import hcl
 from onyxwick.config.address import Address
 from onyxwick.config.fields import Fields
-from onyxwick.tenants import (
-    DEFAULT_QUOTA_PER_S,
-    Tenant,
-    TenantError,
-    Tenants,
-    read_key,
-    read_quota,
-    read_zone_file,
-)
+from onyxwick.tenant_errors import TenantError
+from onyxwick.tenants import DEFAULT_QUOTA_PER_S, Tenant, Tenants, read_key, read_quota
+from onyxwick.zones import read_zone_file
 
 if TYPE_CHECKING:
     from onyxwick.cells import CellPlan
@@ -107,7 +101,7 @@
     tenant = Tenant(row.label, quota, row.string("token", ""))
     tenants.add(tenant)
     for key in row.blocks("key", labels=1):
-        tenant.add_key(*read_key(key.label, key.string("secret")))
+        tenants.add_key(tenant, *read_key(key.label, key.string("secret")))
         key.reject_unknown()
     for zone in row.blocks("zone", labels=1):
         path = folder / zone.string("file")
--- a/onyxwick/dns/lookup.py
+++ b/onyxwick/dns/lookup.py
@@ -11,18 +11,34 @@
 import dns.rdatatype
 import dns.rrset
 
-from onyxwick.tenants import TenantZone
+from onyxwick.errors import OnyxwickError
+from onyxwick.zone_names import Labels
+from onyxwick.zones import TenantZone
 
 MAX_ALIASES = 8
 """Limit on the steps of a CNAME chain within a zone."""
+MAX_ANSWER_RECORDS = 4096
+"""Limit on the records of one set in an answer; more do not fit into a message."""
 IN = dns.rdataclass.IN
 
 
+class TooManyRecordsError(OnyxwickError):
+    """A set of records is too large for any answer."""
+
+
 def _make_rrset(
     name: dns.name.Name, node: dns.node.Node, kind: dns.rdatatype.RdataType
 ) -> dns.rrset.RRset | None:
+    """Return the records of one type. Raises TooManyRecordsError if they do not fit into any answer."""
     rdataset = node.get_rdataset(IN, kind)
-    return dns.rrset.from_rdata_list(name, rdataset.ttl, list(rdataset)) if rdataset else None
+    if not rdataset:
+        return None
+    if len(rdataset) > MAX_ANSWER_RECORDS:
+        raise TooManyRecordsError(f"{len(rdataset)} records of one type at '{name}'")
+    rrset = dns.rrset.RRset(name, IN, kind, rdataset.covers)
+    rrset.ttl = rdataset.ttl
+    rrset.items = rdataset.items  # shared: the sets of a zone do not change
+    return rrset
 
 
 def negative_answer_soa(zone: TenantZone) -> dns.rrset.RRset:
@@ -35,36 +51,31 @@
     return soa
 
 
-def _exists(zone: TenantZone, name: dns.name.Name) -> bool:
-    """Return whether a name exists. A name also exists if only names below it have records."""
-    return any(other.is_subdomain(name) for other in zone.data.nodes)
-
-
-def _find_node(zone: TenantZone, name: dns.name.Name) -> dns.node.Node | None:
+def _find_node(zone: TenantZone, name: dns.name.Name, labels: Labels) -> dns.node.Node | None:
     """Return the node that answers for a name, or None if the name does not exist.
 
     This is the name's own node, an empty node if only names below it have records, or the wildcard of its
     closest encloser.
     """
-    if (node := zone.data.get_node(name)) is not None:
-        return node
-    if _exists(zone, name):
-        return dns.node.Node()  # type: ignore[no-untyped-call]
-    parent = name.parent()
-    while not _exists(zone, parent):
-        parent = parent.parent()
-    return zone.data.get_node(dns.name.Name((b"*", *parent.labels)))
+    names = zone.names
+    if names.exists(labels):
+        return zone.data.get_node(name) or dns.node.Node()  # type: ignore[no-untyped-call]
+    encloser_at = next(start for start in range(1, len(labels) + 1) if names.exists(labels[start:]))
+    if not names.exists((b"*", *labels[encloser_at:])):
+        return None
+    return zone.data.get_node(dns.name.Name((b"*", *name.labels[encloser_at:])))
 
 
-def _find_delegation(zone: TenantZone, name: dns.name.Name) -> dns.rrset.RRset | None:
+def _find_delegation(zone: TenantZone, name: dns.name.Name, labels: Labels) -> dns.rrset.RRset | None:
     """Return the NS records of the highest delegation at or above a name; None if there is no delegation."""
-    found = None
-    while name != zone.name:
-        node = zone.data.get_node(name)
-        if node is not None and (ns := _make_rrset(name, node, dns.rdatatype.NS)):
-            found = ns
-        name = name.parent()
-    return found
+    for start in reversed(range(len(labels))):
+        if not zone.names.exists(labels[start:]):
+            return None  # no name below it exists either
+        owner = dns.name.Name(name.labels[start:])
+        node = zone.data.get_node(owner)
+        if node is not None and (ns := _make_rrset(owner, node, dns.rdatatype.NS)):
+            return ns
+    return None
 
 
 def _add_glue(zone: TenantZone, ns: dns.rrset.RRset, response: dns.message.Message) -> None:
@@ -82,14 +93,18 @@
     record_type: dns.rdatatype.RdataType,
     response: dns.message.Message,
 ) -> None:
-    """Fill in the answer for a static name of this zone and follow its aliases within the zone."""
+    """Fill in the answer for a static name of this zone and follow its aliases within the zone.
+
+    Raises TooManyRecordsError if a set of records is too large for any answer.
+    """
     for _ in range(MAX_ALIASES):
-        if delegation := _find_delegation(zone, name):
+        labels = zone.names.relative(name)
+        if delegation := _find_delegation(zone, name, labels):
             response.flags &= ~dns.flags.AA
             response.authority.append(delegation)
             _add_glue(zone, delegation, response)
             return
-        node = _find_node(zone, name)
+        node = _find_node(zone, name, labels)
         if node is None:
             response.set_rcode(dns.rcode.NXDOMAIN)
             response.authority.append(negative_answer_soa(zone))
--- a/onyxwick/dns/query_handler.py
+++ b/onyxwick/dns/query_handler.py
@@ -7,6 +7,7 @@
 
 import struct
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import dns.exception
@@ -20,11 +21,15 @@
 import dns.update
 
 from onyxwick import logs
+from onyxwick.background_work import BackgroundWork
 from onyxwick.counters import Counters
-from onyxwick.dns import lookup, messages, update
+from onyxwick.dns import lookup, messages
 from onyxwick.dns.routed_names import RoutedNames
-from onyxwick.store.errors import StoreError
-from onyxwick.tenants import Tenants, TenantZone, read_accepted_zone
+from onyxwick.dns.turn_budget import TurnBudget
+from onyxwick.dns.zone_updates import ZoneUpdates
+from onyxwick.tenant_errors import TooManyCallsError
+from onyxwick.tenants import Tenants
+from onyxwick.zones import TenantZone
 
 if TYPE_CHECKING:
     from onyxwick.store.durable_state import DurableState
@@ -32,6 +37,15 @@
 log = logs.get()
 SendBytes = Callable[[bytes], None]
 """Sends an answer's bytes to the client."""
+MAX_INLINE_BYTES = 4096
+"""Longer messages, which are updates, are parsed outside the event loop."""
+FREE_LABELS = 16
+"""A name outside all zones with more labels, which nobody is charged for, is not parsed."""
+SQUARED_LABELS_PER_TOKEN = 400
+"""The time of a query grows with the square of its labels: one of 120 takes as long as 40 short ones."""
+RECORDS_PER_TOKEN = 32
+LONG_MESSAGES = "long messages"
+"""The owner of the work of parsing, as the sender is known only after it."""
 ZONE_TRANSFER_TYPES = (dns.rdatatype.AXFR, dns.rdatatype.IXFR)
 
 
@@ -39,12 +53,19 @@
     """Answers for the tenants' zones. If `durable` is set, updates are durable before they are answered."""
 
     def __init__(
-        self, tenants: Tenants, routed_names: RoutedNames, counters: Counters, durable: DurableState | None
+        self,
+        tenants: Tenants,
+        routed_names: RoutedNames,
+        counters: Counters,
+        durable: DurableState | None,
+        work: BackgroundWork,
     ) -> None:
         self.tenants = tenants
         self.routed_names = routed_names
         self.counters = counters
-        self.durable = durable
+        self.budget = TurnBudget()
+        self.work = work
+        self.updates = ZoneUpdates(tenants, counters, durable, work)
 
     async def handle(self, wire: bytes, over_udp: bool, send: SendBytes) -> None:
         """Answer one message, for which `is_query` must hold.
@@ -52,15 +73,58 @@
         Calls `send` once, or never if the core drops the request.
         """
         try:
-            query = self._read(wire, send)
+            await self.budget.wait()
+            with self.budget:
+                is_admitted = self._admit(wire, send)
+            if not is_admitted:
+                return
+            query = await self._parse(wire, send)
             if query is not None:
                 await self._answer(query, over_udp, send)
+        except TooManyCallsError:
+            self.counters.add("dns.overloaded")
+            send(messages.error_response(wire, dns.rcode.SERVFAIL))
         except Exception:
             # An internal error in one query must not stop the front; the client gets SERVFAIL.
             self.counters.add("error.dns")
             log.exception("internal error in a DNS query")
             send(messages.error_response(wire, dns.rcode.SERVFAIL))
 
+    def _admit(self, wire: bytes, send: SendBytes) -> bool:
+        """Charge a message to the tenant whose zone it asks for, before it is parsed.
+
+        Returns False once it is answered: over the tenant's quota, or with a long name outside all zones.
+        """
+        question = messages.read_question(wire)
+        if question is None:
+            return True  # the parser rejects it
+        zone = self.tenants.nearest_zone_of_labels(question.labels)
+        if zone is None:
+            if len(question.labels) <= FREE_LABELS:
+                return True
+            self._reject(question, wire, dns.rcode.REFUSED, send)
+            return False
+        quota = self.tenants.tenants[zone.tenant].quota
+        if not quota.take():
+            self.counters.add(f"dns.quota.{zone.tenant}")
+            self._reject(question, wire, dns.rcode.SERVFAIL, send)
+            return False
+        quota.charge(len(question.labels) ** 2 // SQUARED_LABELS_PER_TOKEN)
+        return True
+
+    def _reject(
+        self, question: messages.RawQuestion, wire: bytes, rcode: dns.rcode.Rcode, send: SendBytes
+    ) -> None:
+        self.counters.add(f"dns.answer.{dns.rcode.to_text(rcode)}")
+        send(question.error_response(wire, rcode))
+
+    async def _parse(self, wire: bytes, send: SendBytes) -> dns.message.Message | None:
+        """Parse a message, a long one in a thread. Returns None if it is rejected."""
+        if len(wire) <= MAX_INLINE_BYTES:
+            with self.budget:
+                return self._read(wire, send)
+        return await self.work.do(LONG_MESSAGES, partial(self._read, wire, send))
+
     def count_bad_input(self, detail: str) -> None:
         """Count and log input that is not a query or cannot be parsed."""
         self.counters.add("bad.dns")
@@ -72,7 +136,7 @@
             send(messages.error_response(wire, dns.rcode.NOTIMP))
             return None
         try:
-            return dns.message.from_wire(wire, keyring=self.tenants.keyring())
+            return dns.message.from_wire(wire, keyring=self.tenants.keys)
         except (
             dns.tsig.BadTime,
             dns.tsig.PeerError,
@@ -100,14 +164,17 @@
         self.counters.add(f"dns.query.{zone.tenant}")
         name = query.question[0].name
         if isinstance(query, dns.update.UpdateMessage):
-            await self._update(zone, query, response)
+            response.set_rcode(await self.updates.apply(zone, query))
         elif zone.routed is not None and name.is_subdomain(zone.routed):
             response.flags |= dns.flags.AA
             if await self.routed_names.answer(zone, query, response, send_response):
                 return
         else:
-            response.flags |= dns.flags.AA
-            _answer_static(zone, query, response)
+            with self.budget:
+                response.flags |= dns.flags.AA
+                self._answer_static(zone, query, response)
+                send_response()
+            return
         send_response()
 
     def _zone_for(self, query: dns.message.Message, response: dns.message.Message) -> TenantZone | None:
@@ -124,55 +191,21 @@
             is_update = query.opcode() == dns.opcode.UPDATE
             response.set_rcode(dns.rcode.NOTAUTH if is_update else dns.rcode.REFUSED)
             return None
-        if not self.tenants.tenants[zone.tenant].quota.take():
-            self.counters.add(f"dns.quota.{zone.tenant}")
-            response.set_rcode(dns.rcode.SERVFAIL)
-            return None
         return zone
 
-    # ---- updates ----------------------------------------------------------------------------------------
-
-    async def _update(
-        self, zone: TenantZone, query: dns.update.UpdateMessage, response: dns.message.Message
+    def _answer_static(
+        self, zone: TenantZone, query: dns.message.Message, response: dns.message.Message
     ) -> None:
-        keys = self.tenants.tenants[zone.tenant].keys
-        if query.question[0].name != zone.name:
-            response.set_rcode(dns.rcode.NOTAUTH)
-            return
-        if not query.had_tsig or query.keyname not in keys:
-            self.counters.add("dns.update.refused")
+        """Answer a static name, and charge the records of the answer to the zone's tenant."""
+        question = query.question[0]
+        if question.rdtype in ZONE_TRANSFER_TYPES:
             response.set_rcode(dns.rcode.REFUSED)
             return
-        before = zone.data
-        if self.durable is not None:
-            # The update changes a copy of the zone, so that `before` can be restored if the commit fails.
-            # Queries read the copy while the commit is pending, although a change should become visible only
-            # when it is durable.
-            text = before.to_text(relativize=False)
-            zone.data = read_accepted_zone(zone.tenant, str(zone.name), text).data
         try:
-            update.apply_update(zone, query)
-            await self._make_durable(zone)
-            self.counters.add("dns.update.done")
-        except StoreError as error:
-            zone.data = before
-            self.counters.add("dns.update.failed")
-            log.error("DNS update not durable, rolled back", error=str(error))
+            lookup.answer_static_name(zone, question.name, question.rdtype, response)
+        except lookup.TooManyRecordsError as error:
+            log.warning("DNS answer too large", tenant=zone.tenant, error=str(error))
             response.set_rcode(dns.rcode.SERVFAIL)
-        except update.UpdateError as error:
-            self.counters.add("dns.update.failed")
-            response.set_rcode(error.rcode)
-
-    async def _make_durable(self, zone: TenantZone) -> None:
-        """Commit the zone before the update is answered, so that a restart never lowers the serial."""
-        if self.durable is not None:
-            tenant = self.tenants.tenants[zone.tenant]
-            await self.durable.commit(self.durable.tenant_operations(zone.tenant, tenant), "update")
-
-
-def _answer_static(zone: TenantZone, query: dns.message.Message, response: dns.message.Message) -> None:
-    question = query.question[0]
-    if question.rdtype in ZONE_TRANSFER_TYPES:
-        response.set_rcode(dns.rcode.REFUSED)
-    else:
-        lookup.answer_static_name(zone, question.name, question.rdtype, response)
+        sections = (response.answer, response.authority, response.additional)
+        records = sum(len(rrset) for section in sections for rrset in section)
+        self.tenants.tenants[zone.tenant].quota.charge(records // RECORDS_PER_TOKEN)
--- a/onyxwick/dns/routed_names.py
+++ b/onyxwick/dns/routed_names.py
@@ -16,7 +16,7 @@
 from onyxwick.core import AnswerStatus, FinalAnswer, RequestEngine
 from onyxwick.counters import Counters
 from onyxwick.dns import lookup, naming
-from onyxwick.tenants import TenantZone
+from onyxwick.zones import TenantZone
 
 CACHE_TTL_S = 0
 """TTL of the answers in seconds; 0, because a drained cache must get no requests after 500 ms, and a TTL is a
--- a/onyxwick/dns/server.py
+++ b/onyxwick/dns/server.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, cast
 
 from onyxwick import logs
+from onyxwick.background_work import BackgroundWork
 from onyxwick.config.address import format_address
 from onyxwick.config.service import ServiceConfig
 from onyxwick.core import RequestEngine
@@ -41,11 +42,12 @@
         counters: Counters,
         config: ServiceConfig,
         durable: DurableState | None = None,
+        work: BackgroundWork | None = None,
     ) -> None:
         self.counters = counters
         self.address = config.dns_address
         routed_names = RoutedNames(core, counters, config.dns_deadline_us)
-        self.handler = QueryHandler(config.tenants, routed_names, counters, durable)
+        self.handler = QueryHandler(config.tenants, routed_names, counters, durable, work or BackgroundWork())
         self.query_tasks: set[asyncio.Task[None]] = set()
         self.tcp_tasks: set[asyncio.Task[None]] = set()
 
--- a/onyxwick/dns/update.py
+++ b/onyxwick/dns/update.py
@@ -13,7 +13,7 @@
 import dns.update
 
 from onyxwick.errors import OnyxwickError
-from onyxwick.tenants import TenantZone
+from onyxwick.zones import MAX_RRSET_RECORDS, TenantZone
 
 NONE = dns.rdataclass.NONE
 ANY = dns.rdataclass.ANY
@@ -122,6 +122,10 @@
         raise UpdateError(dns.rcode.REFUSED)
 
 
+def _check_size(_: dns.transaction.Transaction, name: dns.name.Name, rdataset: dns.rdataset.Rdataset) -> None:
+    _require(len(rdataset) <= MAX_RRSET_RECORDS, dns.rcode.REFUSED)
+
+
 def apply_update(zone: TenantZone, message: dns.update.UpdateMessage) -> None:
     """Apply an update. Raises UpdateError and leaves the zone unchanged if the update is rejected."""
     for rrset in (*message.prerequisite, *message.update):
@@ -130,6 +134,7 @@
         if change.deleting is None:
             _require(_is_data_type(change.rdtype), dns.rcode.FORMERR)
     with zone.data.writer() as txn:
+        txn.check_put_rdataset(_check_size)
         for prerequisite in message.prerequisite:
             _check_prerequisite(txn, prerequisite)
         soa_before = txn.get(zone.name, dns.rdatatype.SOA)
--- /dev/null
+++ b/onyxwick/dns/zone_updates.py
@@ -0,0 +1,108 @@
+"""Applies dynamic updates: to a copy of the zone, in a thread, made durable and then visible.
+
+The updates of one tenant are applied one after the other. What an update costs, the records that it names and
+the names of the zone that is written out, is charged to the zone's tenant.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import weakref
+from functools import partial
+from typing import TYPE_CHECKING
+
+import dns.rcode
+import dns.update
+
+from onyxwick import logs
+from onyxwick.background_work import BackgroundWork
+from onyxwick.counters import Counters
+from onyxwick.dns.update import UpdateError, apply_update
+from onyxwick.store.errors import StoreError
+from onyxwick.tenants import Tenants
+from onyxwick.zones import MAX_STORED_CHARACTERS, TenantZone
+
+if TYPE_CHECKING:
+    from onyxwick.store.durable_state import DurableState
+
+log = logs.get()
+RECORDS_PER_TOKEN = 8
+NAMES_PER_TOKEN = 20
+
+
+class ZoneUpdates:
+    """Applies updates to the zones of all tenants. Without `durable` they last as long as the process."""
+
+    def __init__(
+        self, tenants: Tenants, counters: Counters, durable: DurableState | None, work: BackgroundWork
+    ) -> None:
+        self.tenants = tenants
+        self.counters = counters
+        self.durable = durable
+        self.work = work
+        self._locks: weakref.WeakValueDictionary[str, asyncio.Lock] = weakref.WeakValueDictionary()
+        """By tenant; entries last as long as an update uses them."""
+
+    async def apply(self, zone: TenantZone, message: dns.update.UpdateMessage) -> dns.rcode.Rcode:
+        """Apply an update and return its result. Raises TooManyCallsError if too many are waiting."""
+        tenant = self.tenants.tenants[zone.tenant]
+        if message.question[0].name != zone.name:
+            return dns.rcode.NOTAUTH
+        if not message.had_tsig or message.keyname not in tenant.keys:
+            self.counters.add("dns.update.refused")
+            return dns.rcode.REFUSED
+        records = len(message.prerequisite) + len(message.update)
+        tenant.quota.charge(records // RECORDS_PER_TOKEN + len(zone.data.nodes) // NAMES_PER_TOKEN)
+        lock = self._locks.setdefault(zone.tenant, asyncio.Lock())
+        try:
+            async with lock:
+                await self._apply_once(zone, message)
+        except StoreError as error:
+            self.counters.add("dns.update.failed")
+            log.error("DNS update not durable, rolled back", error=str(error))
+            return dns.rcode.SERVFAIL
+        except UpdateError as error:
+            self.counters.add("dns.update.failed")
+            return error.rcode
+        self.counters.add("dns.update.done")
+        return dns.rcode.NOERROR
+
+    async def _apply_once(self, zone: TenantZone, message: dns.update.UpdateMessage) -> None:
+        """Apply an update, make it durable, and then let queries see it.
+
+        Raises UpdateError if it is rejected, StoreError if it could not be made durable.
+        """
+        changed = await self.work.do(zone.tenant, partial(_changed_copy, zone, message))
+        if self.durable is None:
+            self._require_current(zone)
+            zone.replace_content(changed)
+            return
+        async with self.durable.change_lock:
+            self._require_current(zone)
+            tenant = self.tenants.tenants[zone.tenant]
+            # A restart never lowers the serial that a client has been answered.
+            await self.durable.commit(self.durable.zone_operations(tenant, changed), "update")
+            zone.replace_content(changed)
+
+    def _require_current(self, zone: TenantZone) -> None:
+        """Raise UpdateError if a call has deleted or replaced the zone meanwhile."""
+        if self.tenants.zones.get(zone.name) is not zone:
+            raise UpdateError(dns.rcode.NOTAUTH)
+
+
+def _changed_copy(zone: TenantZone, message: dns.update.UpdateMessage) -> TenantZone:
+    """Return a copy of the zone with an update applied. Raises UpdateError if the update is rejected."""
+    changed = zone.copy()
+    owners = {rrset.name for rrset in message.update}
+    apply_update(changed, message)
+    for owner in owners:
+        had_records = owner in zone.data.nodes
+        has_records = owner in changed.data.nodes
+        if has_records and not had_records:
+            changed.names.add(owner)
+        elif had_records and not has_records:
+            changed.names.remove(owner)
+    changed.text = changed.data.to_text(relativize=False)
+    if len(changed.text) > MAX_STORED_CHARACTERS:
+        raise UpdateError(dns.rcode.REFUSED)
+    return changed
--- a/onyxwick/hosting/fronts.py
+++ b/onyxwick/hosting/fronts.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from onyxwick.background_work import BackgroundWork
 from onyxwick.config.service import ServiceConfig
 from onyxwick.hosting.routers import RouterFactory
 
@@ -32,6 +33,7 @@
         self.service_config = service_config
         self.routers = routers
         self.durable = durable
+        self.work = BackgroundWork()
 
     def make_fronts(self, health: Callable[[], dict[str, object]]) -> list[DnsFront | HttpServer]:
         """Return all configured fronts. `health` returns the document for the health call."""
@@ -39,7 +41,8 @@
         if self.service_config.dns_address:
             from onyxwick.dns.server import DnsFront
 
-            fronts.append(DnsFront(self.engine, self.engine.counters, self.service_config, self.durable))
+            counters = self.engine.counters
+            fronts.append(DnsFront(self.engine, counters, self.service_config, self.durable, self.work))
         if self.service_config.admin_address:
             from onyxwick.admin.http_server import HttpServer
 
@@ -52,7 +55,7 @@
 
         config = self.service_config
         parts = {"cells": self._cells_api(), "sites": self._sites_api()}
-        api = AdminApi(config.tenants, self.engine.counters, config.admin_token, health, parts)
+        api = AdminApi(config.tenants, self.engine.counters, config.admin_token, health, parts, self.work)
         return self._durable_handler(api)
 
     def _durable_handler(self, api: AdminApi) -> Handler:
--- a/onyxwick/quota.py
+++ b/onyxwick/quota.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import Callable
 
+MAX_DEBT_S = 10.0
+"""Work that is charged after it is done may use up the tokens of this many seconds ahead."""
 BURST_S = 1.0
 """Burst size: a full bucket holds the tokens of this many seconds at the configured rate."""
 
@@ -35,6 +37,11 @@
         self.tokens -= 1
         return True
 
+    def charge(self, tokens: float) -> None:
+        """Take tokens for work that is done or begun, also tokens that come later only."""
+        self._refill()
+        self.tokens = max(-MAX_DEBT_S * self.tokens_per_s, self.tokens - tokens)
+
     def wait_s(self) -> float:
         """Return the seconds until a token is available; 0 if there is one now."""
         self._refill()
--- a/onyxwick/store/durable_state.py
+++ b/onyxwick/store/durable_state.py
@@ -37,8 +37,10 @@
     tenant_rows,
     with_plain_secret,
     zone_prefix,
+    zone_row,
 )
 from onyxwick.tenants import Tenant, Tenants
+from onyxwick.zones import TenantZone
 
 __all__ = ["DurableState"]
 
@@ -70,6 +72,10 @@
         self.recovery.on_opened(now)
         self.cipher = cipher
         self.records_intents = records_intents
+        self._known_texts: dict[str, tuple[int, str]] = {}
+        """By the key of a zone's row, a version of the row and the text object that it was found to hold."""
+        self.change_lock = asyncio.Lock()
+        """Held from the operations of a change of tenants to its commit, as they depend on what is stored."""
         self._is_plan_replaced = False  # by a reload, which may come before `start`
         self.unused_rows: dict[str, UnusedRowError] = {}
         """Why rows of tenants could not be used at the start, by their keys."""
@@ -164,21 +170,44 @@
         operations = self._operations_for(tenant_prefixes(name), rows)
         return [operation for operation in operations if is_of_tenant(operation.key, name)]
 
+    def zone_operations(self, tenant: Tenant, changed: TenantZone) -> list[WriteOperation]:
+        """Return the operations to commit before a changed copy of a tenant's zone is served.
+
+        The first change of a tenant of the service file writes all its rows, as stored rows replace it.
+        """
+        key, row = zone_row(changed)
+        if self._row(tenant_key(tenant.name)) is None:
+            rows = tenant_rows(tenant, self.cipher) | {key: row}
+            return self._operations_for(tenant_prefixes(tenant.name), rows)
+        return [WriteOperation(key, pack_row(key, row))]
+
     def _operations_for(self, prefixes: Iterable[str], rows: Mapping[str, StoredRow]) -> list[WriteOperation]:
         """Return the operations that replace all rows under some prefixes by `rows`.
 
         A row that differs only in the encrypted bytes of the same secret is not rewritten.
         """
-        stored = {key: row for prefix in prefixes for key, row in self._rows(prefix)}
+        stored = [key for prefix in prefixes for key in self.engine.keys(prefix)]
         kept = rows.keys() | self.unused_rows.keys()
         operations = [WriteOperation(key, None) for key in stored if key not in kept]
         for key, row in rows.items():
-            if key not in stored or self._with_plain_secret(key, stored[key]) != self._with_plain_secret(
-                key, row
-            ):
+            if not self._is_stored(key, row):
                 operations.append(WriteOperation(key, pack_row(key, row)))
         return operations
 
+    def _is_stored(self, key: str, row: StoredRow) -> bool:
+        """Return whether a row is stored like this. Of a zone's long text, a version is compared once."""
+        version = self.engine.version(key)
+        text = row.get("text")
+        known = self._known_texts.get(key)
+        if text is not None and known is not None and known[0] == version and known[1] is text:
+            return True
+        stored = self._row(key)
+        if stored is None or self._with_plain_secret(key, stored) != self._with_plain_secret(key, row):
+            return False
+        if text is not None:
+            self._known_texts[key] = (version, text)
+        return True
+
     def _with_plain_secret(self, key: str, row: StoredRow) -> StoredRow:
         return with_plain_secret(key, row, self.cipher)
 
--- a/onyxwick/store/tenant_rows.py
+++ b/onyxwick/store/tenant_rows.py
@@ -8,7 +8,9 @@
 from onyxwick.store.encryption import SecretCipher
 from onyxwick.store.errors import SecretUnreadableError
 from onyxwick.store.row_schema import StoredRow, StoredRows, row_kind
-from onyxwick.tenants import Tenant, TenantError, Tenants, read_accepted_zone, read_key
+from onyxwick.tenant_errors import TenantError
+from onyxwick.tenants import Tenant, Tenants, read_key
+from onyxwick.zones import TenantZone, read_accepted_zone
 
 _ENCRYPTED_FIELDS = {"tenant": "token", "key": "secret"}  # the encrypted field of a row, by kind of row
 UnusedRowError = TenantError | SecretUnreadableError
@@ -49,15 +51,18 @@
     """Convert a tenant to its rows, by key."""
     token = cipher.encrypt(tenant.token.encode()) if tenant.token else b""
     rows: StoredRows = {tenant_key(tenant.name): {"quota_per_s": tenant.quota.tokens_per_s, "token": token}}
-    for name, zone in tenant.zones.items():
-        routed = str(zone.routed) if zone.routed is not None else None
-        text = zone.data.to_text(relativize=False)
-        rows[f"{zone_prefix(tenant.name)}{name}"] = {"text": text, "routed": routed}
+    rows.update(map(zone_row, tenant.zones.values()))
     for name, secret in tenant.keys.items():
         rows[f"{key_prefix(tenant.name)}{name}"] = {"secret": cipher.encrypt(secret)}
     return rows
 
 
+def zone_row(zone: TenantZone) -> tuple[str, StoredRow]:
+    """Convert a zone to its row; returns the row's key and the row."""
+    routed = str(zone.routed) if zone.routed is not None else None
+    return f"{zone_prefix(zone.tenant)}{zone.name}", {"text": zone.text, "routed": routed}
+
+
 def add_tenant(
     tenants: Tenants, name: str, row: StoredRow, parts: Iterable[tuple[str, StoredRow]], cipher: SecretCipher
 ) -> dict[str, UnusedRowError]:
@@ -90,7 +95,7 @@
         tenants.add_accepted_zone(zone)
     elif kind == "key":
         secret = cipher.decrypt(part["secret"], key)
-        tenant.add_key(*read_key(part_name, base64.b64encode(secret).decode()))
+        tenants.add_key(tenant, *read_key(part_name, base64.b64encode(secret).decode()))
 
 
 def with_plain_secret(key: str, row: StoredRow, cipher: SecretCipher) -> StoredRow:
--- a/onyxwick/tenants.py
+++ b/onyxwick/tenants.py
@@ -1,4 +1,4 @@
-"""Tenants of the hosted service with their zones, keys and quotas. Only `read_zone_file` performs I/O."""
+"""Tenants of the hosted service with their zones, keys and quotas. This module does no I/O."""
 
 from __future__ import annotations
 
@@ -6,17 +6,13 @@
 import binascii
 import hmac
 import re
-from dataclasses import dataclass
-from pathlib import Path
 
-import dns.exception
 import dns.name
-import dns.versioned
-import dns.zone
 import ujson
 
-from onyxwick.errors import OnyxwickError
 from onyxwick.quota import TokenBucket
+from onyxwick.tenant_errors import AlreadyExistsError, TenantError
+from onyxwick.zones import TenantZone, read_name
 
 DEFAULT_QUOTA_PER_S = 500.0
 """Queries per second allowed to a tenant without its own quota."""
@@ -28,29 +24,9 @@
 """Maximum number of zones of one tenant."""
 MAX_KEYS = 16
 """Maximum number of keys of one tenant."""
-MAX_ZONE_CHARACTERS = 262_144
-"""Maximum length of a zone file's text, in characters."""
 MIN_SECRET_BYTES = 16
 
 
-class TenantError(OnyxwickError, ValueError):
-    """A tenant, zone, key or quota is invalid; the message names the field."""
-
-
-class AlreadyExistsError(TenantError):
-    """The tenant or zone to be created already exists, or lies in another tenant's zone."""
-
-
-@dataclass(slots=True, eq=False)
-class TenantZone:
-    """One zone with its static names. The request core answers names below `routed`."""
-
-    name: dns.name.Name
-    tenant: str
-    data: dns.versioned.Zone
-    routed: dns.name.Name | None = None
-
-
 _match_name = re.compile(r"[a-z0-9][a-z0-9-]{0,62}").fullmatch
 
 
@@ -70,12 +46,6 @@
         self.keys: dict[dns.name.Name, bytes] = {}
         self.zones: dict[dns.name.Name, TenantZone] = {}
 
-    def add_key(self, name: dns.name.Name, secret: bytes) -> None:
-        """Add or replace a TSIG key. Raises TenantError if the tenant already has MAX_KEYS other keys."""
-        if name not in self.keys and len(self.keys) >= MAX_KEYS:
-            raise TenantError(f"a tenant can have at most {MAX_KEYS} keys")
-        self.keys[name] = secret
-
 
 def read_quota(value: object) -> float:
     """Parse a quota in queries per second. Raises TenantError if it is not a number within its bounds."""
@@ -102,14 +72,6 @@
     return quotas
 
 
-def read_name(text: object) -> dns.name.Name:
-    """Parse a domain name into canonical form. Raises TenantError if the text is not a domain name."""
-    try:
-        return dns.name.from_text(str(text)).canonicalize()
-    except (dns.exception.DNSException, UnicodeError):
-        raise TenantError(f"'{text}' is not a domain name") from None
-
-
 def read_key(name: object, secret: object) -> tuple[dns.name.Name, bytes]:
     """Parse a TSIG key's name and its base64 secret. Raises TenantError if either is invalid."""
     try:
@@ -121,50 +83,18 @@
     return read_name(name), raw
 
 
-def read_zone(tenant: str, name: str, text: str, routed: str | None = None) -> TenantZone:
-    """Parse a zone from the text of a zone file. Raises TenantError if the text or `routed` is invalid.
-
-    `routed` is relative to the zone's name. `$INCLUDE` is rejected, because the text may come from a tenant.
-    """
-    if len(text) > MAX_ZONE_CHARACTERS:
-        raise TenantError(f"zone '{name}': longer than {MAX_ZONE_CHARACTERS} characters")
-    return read_accepted_zone(tenant, name, text, routed)
-
-
-def read_accepted_zone(tenant: str, name: str, text: str, routed: str | None = None) -> TenantZone:
-    """Parse a zone that was accepted before, of any length: its text may have been written out since.
-
-    Raises TenantError if the text or `routed` is invalid.
-    """
-    origin = read_name(name)
-    try:
-        data = dns.zone.from_text(
-            text, origin, relativize=False, zone_factory=dns.versioned.Zone, allow_include=False
-        )
-        routed_name = dns.name.from_text(routed, origin) if routed else None
-    except (dns.exception.DNSException, ValueError) as error:
-        raise TenantError(f"zone '{name}': {error}") from None
-    assert isinstance(data, dns.versioned.Zone)
-    if routed_name is not None and (routed_name == origin or not routed_name.is_subdomain(origin)):
-        raise TenantError(f"zone '{name}': 'routed' is not a name below the zone")
-    return TenantZone(origin, tenant, data, routed_name)
-
-
-def read_zone_file(tenant: str, name: str, path: Path, routed: str | None = None) -> TenantZone:
-    """Read a zone file. Raises TenantError if the file cannot be read or is invalid."""
-    try:
-        return read_zone(tenant, name, path.read_text(), routed)
-    except OSError as error:
-        raise TenantError(f"zone '{name}': {error}") from None
-
-
 class Tenants:
     """All tenants, and an index of their zones by name."""
 
     def __init__(self) -> None:
         self.tenants: dict[str, Tenant] = {}
         self.zones: dict[dns.name.Name, TenantZone] = {}
-        """The zones of all tenants by name; `nearest_zone` takes one step per label of the name."""
+        """The zones of all tenants by name."""
+        self._zones_by_labels: dict[tuple[bytes, ...], TenantZone] = {}
+        self._most_labels = 0
+        """The most labels that a zone's name has had; longer names are cut before they are looked up."""
+        self.keys: dict[dns.name.Name, bytes] = {}
+        """The TSIG keys of all tenants by key name."""
         self._zones_below: dict[dns.name.Name, dict[str, int]] = {}
         """For each name above zones, the number of zones below it by tenant."""
 
@@ -175,11 +105,16 @@
         if len(self.tenants) >= MAX_TENANTS:
             raise TenantError(f"there can be at most {MAX_TENANTS} tenants")
         self.tenants[tenant.name] = tenant
+        for key, secret in tenant.keys.items():
+            self.keys[key] = secret
 
     def remove(self, name: str) -> None:
         """Remove a tenant and its zones. Raises KeyError if there is no such tenant."""
-        for zone in self.tenants.pop(name).zones.values():
+        tenant = self.tenants.pop(name)
+        for zone in tenant.zones.values():
             self._remove_from_index(zone)
+        for key in tenant.keys:
+            self._drop_key(key)
 
     def add_zone(self, zone: TenantZone) -> None:
         """Add a zone, or replace a zone of the same tenant.
@@ -216,6 +151,9 @@
                 raise TenantError(f"a tenant can have at most {MAX_ZONES} zones")
             self._count_above(zone, 1)
         self.zones[zone.name] = zone
+        labels = _labels_of(zone.name)
+        self._zones_by_labels[labels] = zone
+        self._most_labels = max(self._most_labels, len(labels))
         tenant.zones[zone.name] = zone
 
     def remove_zone(self, zone: TenantZone) -> None:
@@ -225,6 +163,7 @@
 
     def _remove_from_index(self, zone: TenantZone) -> None:
         del self.zones[zone.name]
+        del self._zones_by_labels[_labels_of(zone.name)]
         self._count_above(zone, -1)
 
     def _count_above(self, zone: TenantZone, change: int) -> None:
@@ -248,12 +187,15 @@
 
     def nearest_zone(self, name: dns.name.Name) -> TenantZone | None:
         """Return the nearest zone at or above a name; None if there is no such zone."""
-        while True:
-            if zone := self.zones.get(name):
+        return self.nearest_zone_of_labels(tuple([label.lower() for label in name.labels]))
+
+    def nearest_zone_of_labels(self, labels: tuple[bytes, ...]) -> TenantZone | None:
+        """Return the nearest zone at or above a name, given its labels in lower case; None if none is."""
+        labels = labels[-self._most_labels :]
+        for start in range(len(labels)):
+            if zone := self._zones_by_labels.get(labels[start:]):
                 return zone
-            if name == dns.name.root or not len(name):
-                return None
-            name = name.parent()
+        return None
 
     def apply_quotas(self, text: str) -> None:
         """Set tenants' quotas from a document `{"quotas": {NAME: QUERIES_PER_SECOND}}`, all or none.
@@ -266,9 +208,27 @@
             if tenant is not None and tenant.quota.tokens_per_s != per_s:
                 tenant.quota.tokens_per_s = per_s
 
-    def keyring(self) -> dict[dns.name.Name, bytes]:
-        """Return the TSIG keys of all tenants by key name."""
-        return {name: key for tenant in self.tenants.values() for name, key in tenant.keys.items()}
+    def add_key(self, tenant: Tenant, name: dns.name.Name, secret: bytes) -> None:
+        """Add or replace a tenant's TSIG key. Raises TenantError if the tenant has MAX_KEYS other keys."""
+        if name not in tenant.keys and len(tenant.keys) >= MAX_KEYS:
+            raise TenantError(f"a tenant can have at most {MAX_KEYS} keys")
+        tenant.keys[name] = secret
+        self.keys[name] = secret
+
+    def remove_key(self, tenant: Tenant, name: dns.name.Name) -> bool:
+        """Remove a tenant's TSIG key. Returns whether it had such a key."""
+        if tenant.keys.pop(name, None) is None:
+            return False
+        self._drop_key(name)
+        return True
+
+    def _drop_key(self, name: dns.name.Name) -> None:
+        """Remove a key from the index, unless another tenant of the service file has one of that name."""
+        others = [tenant.keys[name] for tenant in self.tenants.values() if name in tenant.keys]
+        if others:
+            self.keys[name] = others[-1]
+        else:
+            self.keys.pop(name, None)
 
     def tenant_of_token(self, token: str) -> Tenant | None:
         """Return the tenant that a token belongs to, or None; each comparison takes constant time."""
@@ -277,3 +237,7 @@
             if tenant.token and hmac.compare_digest(tenant.token.encode(), token.encode()):
                 found = tenant
         return found
+
+
+def _labels_of(name: dns.name.Name) -> tuple[bytes, ...]:
+    return tuple([label.lower() for label in name.labels])
--- a/tests/test_restart_after_changes.py
+++ b/tests/test_restart_after_changes.py
@@ -24,14 +24,9 @@
 from onyxwick.store.errors import SecretUnreadableError
 from onyxwick.store.row_schema import StoredPlan, StoredRows, pack_row, unpack_row
 from onyxwick.store.transactions import WriteOperation
-from onyxwick.tenants import (
-    AlreadyExistsError,
-    Tenant,
-    Tenants,
-    read_accepted_zone,
-    read_name,
-    read_zone,
-)
+from onyxwick.tenant_errors import AlreadyExistsError
+from onyxwick.tenants import Tenant, Tenants
+from onyxwick.zones import read_accepted_zone, read_name, read_zone
 from tests.cells import plan_of
 from tests.director_with_store import DirectorWithStore, open_state
 from tests.faulty_files import FaultyFiles
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -422,13 +422,13 @@
             request = HttpRequest("PUT", "/sites/orders/north", head, body)
             if start == 0:
                 with pytest.raises(HttpError, match="no block 'store'"):
-                    api(request)
+                    await api(request)
                 assert (await DurableApi(api, durable, core)(request))[0] == 200
                 assert router.monitor.commands.directive_for("north") is SiteDirective.EVACUATE
                 nowhere = HttpRequest("PUT", "/sites/orders/nowhere", head, body)
                 with pytest.raises(HttpError, match="no site 'nowhere'"):
                     await DurableApi(api, durable, core)(nowhere)
-            response = api(HttpRequest("GET", "/sites", head, b""))
+            response = await api(HttpRequest("GET", "/sites", head, b""))
             assert response[0] == 200
             await durable.close()
         assert orders[0] == [] and [o.directive for o in orders[1]] == [SiteDirective.EVACUATE]
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -39,10 +39,11 @@
 from onyxwick.store.files import DiskFiles
 from onyxwick.store.recovery import DrainSource, MemberDrain, RecordedPurge, RecoveryPhase
 from onyxwick.store.row_schema import IdempotentCall, pack_row, unpack_row
-from onyxwick.tenants import Tenant, Tenants, read_name
+from onyxwick.tenants import Tenant, Tenants
 from onyxwick.trace.model import NEVER, DecisionReason, NotificationKind, verdict_word
 from onyxwick.trace.reader import open_trace
 from onyxwick.trace.table import StringTable, Table, concatenate
+from onyxwick.zones import read_name
 
 STORED = Path(__file__).parent / "stored_data" / "24ddf6c"
 S = 1_000_000
