--- a/onyxwick/core/feed_intake.py
+++ b/onyxwick/core/feed_intake.py
@@ -50,6 +50,7 @@
         """
         context = self.context
         event = self._without_excess(event)
+        event = self._without_replaced(event, addresses)
         self._remember(event, addresses)
         if context.durable is not None:
             context.durable.record_endpoints(event, context.now())
@@ -94,6 +95,37 @@
             log.error("members left out of the endpoint list", members=left_out, limit=self.max_members)
         return replace(event, members=tuple(members))
 
+    def _without_replaced(self, event: EndpointsChanged, addresses: dict[str, Address]) -> EndpointsChanged:
+        """Return the event with those members removed whose addresses it gives to other members.
+
+        A new cache may come up at the address of one that has gone before the list tells that it has. A
+        complete list tells all members at once, so nobody's address is taken by it.
+        """
+        if event.kind is not EndpointListKind.CHANGE:
+            return event
+        named = {member.address for member in event.members}
+        taken = {
+            addresses[name]
+            for name in named & addresses.keys()
+            if name not in self._received or self._received[name].address != addresses[name]
+        }
+        replaced = (
+            [row.member for name, row in self._received.items() if row.address in taken and name not in named]
+            if taken
+            else []
+        )
+        if not replaced:
+            return event
+        self.context.counters.add("feed.replaced", len(replaced))
+        log.warning(
+            "members replaced at their addresses",
+            members=[member.address for member in replaced[:MAX_LOGGED_MEMBERS]],
+            count=len(replaced),
+            after=self.last_index,
+        )
+        removed = tuple(replace(member, state=MemberState.REMOVED) for member in replaced)
+        return replace(event, members=(*removed, *event.members))
+
     def _remember(self, event: EndpointsChanged, addresses: dict[str, Address]) -> None:
         if event.kind is not EndpointListKind.CHANGE:
             self._received.clear()
--- a/onyxwick/core/request_table.py
+++ b/onyxwick/core/request_table.py
@@ -1,7 +1,8 @@
 """The table of open requests, and the admission of new requests to it.
 
 A request is admitted unless a request with its id is open, too many requests are open, or the request may
-have been executed before a restart. Times are in steady microseconds.
+have been executed under its id before: by this process, whatever became of its client, or before a restart.
+Times are in steady microseconds.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 from collections.abc import Callable
 
 from onyxwick.core.context import EngineContext
+from onyxwick.core.executed_ids import ExecutedIds
 from onyxwick.core.model import AnswerStatus, CacheTransport, ClientRequest, FinalAnswer
 from onyxwick.core.reasons import UnservedReason
 from onyxwick.core.request_lifecycle import RequestLifecycle
@@ -24,6 +26,7 @@
     def __init__(self, context: EngineContext) -> None:
         self.context = context
         self.lifecycles: dict[str, RequestLifecycle] = {}
+        self.executed = ExecutedIds()
         self.body_bytes = 0  # of all open requests
         self.idle = asyncio.Event()
         self.idle.set()
@@ -65,6 +68,8 @@
     def remove(self, lifecycle: RequestLifecycle) -> None:
         """Remove a request that has its final answer and whose attempts have all ended."""
         request_id = lifecycle.request.request_id
+        if not self.context.guard.is_retry_safe(lifecycle):
+            self.executed.add(request_id, self.context.now())
         self.context.invariants.request_ended(request_id)
         del self.lifecycles[request_id]
         self.body_bytes -= len(lifecycle.request.body)
@@ -79,7 +84,12 @@
         return lifecycle.request.class_name in self.context.non_idempotent_classes
 
     def _possibly_executed(self, request: ClientRequest) -> bool:
-        """Return whether an attempt of a non-idempotent request was in flight when the director restarted."""
+        """Return whether an attempt under the request's id may have been executed.
+
+        It is one of this process, or one that was in flight when the director restarted.
+        """
+        if self.executed.contains(request.request_id, self.context.now()):
+            return True
         durable = self.context.durable
         if durable is None or request.class_name not in self.context.non_idempotent_classes:
             return False
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -46,6 +46,7 @@
     "onyxwick.core.timers",
     "onyxwick.core.request_lifecycle",
     "onyxwick.core.endpoints",
+    "onyxwick.core.executed_ids",
     "onyxwick.core.reasons",
     "onyxwick.core.model",
     "onyxwick.core.backoff",
