--- a/onyxwick/net/front.py
+++ b/onyxwick/net/front.py
@@ -25,6 +25,7 @@
 from onyxwick.counters import Counters
 from onyxwick.net import connection_shutdown
 from onyxwick.net.accept_loop import AcceptLoop
+from onyxwick.net.connection_release import releasable
 from onyxwick.net.connection_slots import eviction_rank
 from onyxwick.net.delivery import CLIENT_STALLED_S
 from onyxwick.net.fastcgi_calls import OwnerFields
@@ -353,7 +354,7 @@
             self._evict(connection, now_s, ConnectionCloseReason.MEMORY_NEEDED)
 
     def _releasable_memory(self, now_s: float) -> list[Releasable]:
-        return [offer for each in self.connections for offer in each.releasable(now_s)]
+        return [offer for each in self.connections for offer in releasable(each, now_s)]
 
     async def _wait_for_evictions(self) -> None:
         """Wait until few evicted connections are open, as they use descriptors beyond those of the slots."""
--- a/onyxwick/net/front_connection.py
+++ b/onyxwick/net/front_connection.py
@@ -17,7 +17,6 @@
 
 from onyxwick import logs
 from onyxwick.core import ClientRequest, FinalAnswer, RequestLifecycle
-from onyxwick.core.memory_account import Releasable
 from onyxwick.core.reasons import ConnectionCloseReason
 from onyxwick.core.shutdown import ShutdownSchedule, ShutdownStage
 from onyxwick.net import fastcgi
@@ -368,33 +367,6 @@
         """Return the ids of the requests that are not answered yet."""
         return [each.request.request_id for each in self.open_calls.values() if each is not None]
 
-    # ---- memory ------------------------------------------------------------------------------------------
-
-    def releasable(self, now_s: float) -> list[Releasable]:
-        """Return the memory that the connection would release; none if it is closing or holds little."""
-        if self.half_closed_at_s or self.close_reason is not None:
-            return []
-        return self.memory.releasable(self.shorten_memory, self.end_for_memory, now_s, self.last_active_at_s)
-
-    def shorten_memory(self, now_s: float) -> None:
-        """Reject partial calls, shorten answers that are not begun, and close if nothing else is owed."""
-        self.memory.log_release(now_s, self.last_active_at_s, ends=False)
-        self.memory.shorten_answers()
-        rejections = self.memory.reject_partial_calls()
-        # Bytes that are not read yet may complete a call, which is then owed an answer.
-        if self.open_calls or self.writes.pending_bytes or unread_bytes(self.sock):
-            if rejections:
-                self.writes.post(PendingWrite(rejections))
-            return
-        with contextlib.suppress(OSError):
-            self.sock.send(rejections)
-        self.owner.release(self, now_s)
-
-    def end_for_memory(self, now_s: float) -> None:
-        """Close the connection with the answers that its client has stopped to read."""
-        self.memory.log_release(now_s, self.last_active_at_s, ends=True)
-        self.owner.release(self, now_s)
-
     # ---- connection slot ---------------------------------------------------------------------------------
 
     def slot(self) -> ConnectionSlot:
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -87,6 +87,7 @@
     "onyxwick.net.feed_wire",
     "onyxwick.net.front",
     "onyxwick.net.listening",
+    "onyxwick.net.connection_release",
     "onyxwick.net.peer_progress",
     "onyxwick.net.resp",
     "onyxwick.net.cache_connection",
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -17,6 +17,7 @@
 from onyxwick.lab.soak.hoarding import encode_begin
 from onyxwick.net import fastcgi, resp
 from onyxwick.net.connection_memory import LARGE_ANSWER_BYTES, failure_in_place_of
+from onyxwick.net.connection_release import releasable
 from onyxwick.net.peer_progress import PeerProgress
 from onyxwick.net.socket_state import unread_bytes
 from onyxwick.net.write_queue import PendingWrite, WriteQueue
@@ -206,7 +207,7 @@
         sock.send(encode_call(2, "/ping"))
         while not unread_bytes(connection.sock):  # the event loop reads nothing meanwhile
             time.sleep(0.001)
-        offers = connection.releasable(time.monotonic())
+        offers = releasable(connection, time.monotonic())
         assert offers
         for offer in offers:
             offer.release(time.monotonic())
