The open queries of one tenant are a quarter of all

Callers would see: queries that wait for the core, of one tenant inside its quota, fill the 512 of all tenants, whose own are dropped. Change: 128 of one tenant, then SERVFAIL. Measured: tests/test_peer_chosen_work.py passes; open_queries_of_one_tenant is new with the bound.

--- a/onyxwick/dns/query_handler.py
+++ b/onyxwick/dns/query_handler.py
@@ -24,6 +24,7 @@
 from onyxwick.background_work import BackgroundWork
 from onyxwick.counters import Counters
 from onyxwick.dns import lookup, messages
+from onyxwick.dns.open_queries import OpenQueries
 from onyxwick.dns.routed_names import RoutedNames
 from onyxwick.dns.turn_budget import TurnBudget
 from onyxwick.dns.zone_updates import ZoneUpdates
@@ -44,6 +45,7 @@
 SQUARED_LABELS_PER_TOKEN = 400
 """The time of a query grows with the square of its labels: one of 120 takes as long as 40 short ones."""
 RECORDS_PER_TOKEN = 32
+NO_TENANT = ""
 LONG_MESSAGES = "long messages"
 """The owner of the work of parsing, as the sender is known only after it."""
 ZONE_TRANSFER_TYPES = (dns.rdatatype.AXFR, dns.rdatatype.IXFR)
@@ -64,6 +66,7 @@
         self.routed_names = routed_names
         self.counters = counters
         self.budget = TurnBudget()
+        self.open_queries = OpenQueries()
         self.work = work
         self.updates = ZoneUpdates(tenants, counters, durable, work)
 
@@ -75,12 +78,13 @@
         try:
             await self.budget.wait()
             with self.budget:
-                is_admitted = self._admit(wire, send)
-            if not is_admitted:
+                owner = self._admit(wire, send)
+            if owner is None:
                 return
-            query = await self._parse(wire, send)
-            if query is not None:
-                await self._answer(query, over_udp, send)
+            with self.open_queries.counted(owner):
+                query = await self._parse(wire, send)
+                if query is not None:
+                    await self._answer(query, over_udp, send)
         except TooManyCallsError:
             self.counters.add("dns.overloaded")
             send(messages.error_response(wire, dns.rcode.SERVFAIL))
@@ -90,27 +94,28 @@
             log.exception("internal error in a DNS query")
             send(messages.error_response(wire, dns.rcode.SERVFAIL))
 
-    def _admit(self, wire: bytes, send: SendBytes) -> bool:
+    def _admit(self, wire: bytes, send: SendBytes) -> str | None:
         """Charge a message to the tenant whose zone it asks for, before it is parsed.
 
-        Returns False once it is answered: over the tenant's quota, or with a long name outside all zones.
+        Returns the tenant's name, empty for none. Returns None once the message is answered: over the
+        tenant's quota or its share of open queries, or with a long name outside all zones.
         """
         question = messages.read_question(wire)
         if question is None:
-            return True  # the parser rejects it
+            return NO_TENANT  # the parser rejects it
         zone = self.tenants.nearest_zone_of_labels(question.labels)
         if zone is None:
             if len(question.labels) <= FREE_LABELS:
-                return True
+                return NO_TENANT
             self._reject(question, wire, dns.rcode.REFUSED, send)
-            return False
+            return None
         quota = self.tenants.tenants[zone.tenant].quota
-        if not quota.take():
+        if not self.open_queries.has_room(zone.tenant) or not quota.take():
             self.counters.add(f"dns.quota.{zone.tenant}")
             self._reject(question, wire, dns.rcode.SERVFAIL, send)
-            return False
+            return None
         quota.charge(len(question.labels) ** 2 // SQUARED_LABELS_PER_TOKEN)
-        return True
+        return zone.tenant
 
     def _reject(
         self, question: messages.RawQuestion, wire: bytes, rcode: dns.rcode.Rcode, send: SendBytes
--- a/tests/test_peer_chosen_work.py
+++ b/tests/test_peer_chosen_work.py
@@ -26,8 +26,10 @@
 from onyxwick.background_work import MAX_WAITING, BackgroundWork
 from onyxwick.counters import Counters
 from onyxwick.dns import lookup, query_handler
-from onyxwick.dns.query_handler import QueryHandler
+from onyxwick.dns.open_queries import MAX_OPEN_OF_TENANT
+from onyxwick.dns.query_handler import QueryHandler, SendBytes
 from onyxwick.dns.routed_names import RoutedNames
+from onyxwick.dns.server import MAX_OPEN_QUERIES
 from onyxwick.dns.turn_budget import TurnBudget
 from onyxwick.dns.zone_updates import _changed_copy
 from onyxwick.store import StoreFailedError
@@ -125,7 +127,7 @@
         handler = _handler(_tenants(noisy=LARGE, quiet=HEAD))
         async with _Heartbeat() as heartbeat:
             asked = [_ask(handler, _query(f"no{n}.such.noisy.example.")) for n in range(400)]
-            answers = await asyncio.gather(*asked)
+            answers = await asyncio.gather(*asked)  # static names are answered at once, one by one
         assert {answer.rcode() for answer in answers} == {dns.rcode.NXDOMAIN}
         assert heartbeat.longest_s < MAX_GAP_S
 
@@ -197,6 +199,34 @@
     asyncio.run(scenario())
 
 
+# Guards against: queries of one tenant inside its quota that wait for the core and leave no room for others.
+def test_the_open_queries_of_one_tenant_are_a_part_of_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        tenants = _tenants(noisy=HEAD, quiet=HEAD)
+        handler, go = _handler(tenants), asyncio.Event()
+        answer = handler._answer
+
+        async def answer_later(query: dns.message.Message, over_udp: bool, send: SendBytes) -> None:
+            await go.wait()
+            await answer(query, over_udp, send)
+
+        monkeypatch.setattr(handler, "_answer", answer_later)
+        wire = _query("ns.noisy.example.")
+        asked = [asyncio.create_task(_ask(handler, wire)) for _ in range(MAX_OPEN_OF_TENANT + 50)]
+        await asyncio.sleep(0.1)
+        assert [task.done() for task in asked].count(True) == 50
+        assert MAX_OPEN_OF_TENANT < MAX_OPEN_QUERIES / 2
+        quiet = asyncio.create_task(_ask(handler, _query("ns.quiet.example.")))
+        await asyncio.sleep(0)
+        go.set()
+        assert (await quiet).answer
+        rcodes = [answer.rcode() for answer in await asyncio.gather(*asked)]
+        assert rcodes.count(dns.rcode.SERVFAIL) == 50
+        assert (await _ask(handler, wire)).answer, "there is room again"
+
+    asyncio.run(scenario())
+
+
 def test_messages_wait_for_a_turn_in_which_time_is_left() -> None:
     async def scenario() -> None:
         budget, turns, order = TurnBudget(0.005), [0], list[int]()
