An accepted change leaves its tenant's other calls alone, and Retry-After is enough

What callers saw: the GET at once after an accepted PUT of a zone of 6,000 names got 429, and so did listing, correcting and deleting it; `Retry-After: 1` was followed by another 429. Queries got SERVFAIL after updates of a large zone.

Cause: since a zone is charged by its length, into debt, to the bucket that counts the tenant's calls, and an update to the one that counts its queries; the time told was a constant.

Change: reading zones and applying updates have quotas of their own, in processor time as measured (500 ms a second, 5 s at once). The first change after an admitted one of the same zone is taken in debt, and charged. A rejection tells when the debt is paid, a later time to each of several calls; a call that has waited for it is taken, whatever was done meanwhile. The owners of work take turns; a caller that leaves pays for its work.

--- a/onyxwick/admin/api.py
+++ b/onyxwick/admin/api.py
@@ -8,13 +8,16 @@
 
 import contextlib
 import hmac
+import math
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
+import dns.name
+
 from onyxwick.admin.http_messages import Answer, HttpError, HttpRequest
-from onyxwick.background_work import BackgroundWork
+from onyxwick.background_work import BackgroundWork, Price
 from onyxwick.config.service import MIN_TOKEN_CHARACTERS
 from onyxwick.counters import Counters
 from onyxwick.tenant_errors import AlreadyExistsError, TenantError, TooManyCallsError
@@ -23,9 +26,9 @@
 
 __all__ = ["AdminApi", "Answer", "ApiSection", "Caller"]
 
-CHARACTERS_PER_TOKEN = 8192
-"""A tenant pays for the text of a zone by its length, before and after names are written out."""
 TENANT_FIELDS = {"name", "quota_per_s", "token"}
+EXPECTED_MS_PER_CHARACTER = 0.01
+"""Expected processor time of reading a zone, in ms for each character of its text."""
 
 
 class ApiSection(Protocol):
@@ -56,10 +59,11 @@
         """Return whether the caller may make calls for a tenant."""
         return self.tenant is None or self.tenant.name == tenant
 
-    def charge(self, tokens: float) -> None:
-        """Charge work to the calling tenant; the operator's is free."""
-        if self.tenant is not None:
-            self.tenant.admin_quota.charge(tokens)
+    def price(self, zone: dns.name.Name, text: str) -> Price | None:
+        """Return what reading a zone's text costs the caller; None for the operator, whose work is free."""
+        if self.tenant is None:
+            return None
+        return Price(self.tenant.zone_quota, str(zone), len(text) * EXPECTED_MS_PER_CHARACTER)
 
 
 @contextlib.contextmanager
@@ -70,11 +74,16 @@
     except AlreadyExistsError as error:
         raise HttpError(409, str(error)) from None
     except TooManyCallsError as error:
-        raise HttpError(429, str(error), {"Retry-After": "1"}) from None
+        raise _rejected_for_now(429, str(error), error.retry_after_s) from None
     except TenantError as error:
         raise HttpError(400, str(error)) from None
 
 
+def _rejected_for_now(status: int, text: str, retry_after_s: float) -> HttpError:
+    """Return the rejection of a call that may be repeated after a time in seconds."""
+    return HttpError(status, text, {"Retry-After": str(max(1, math.ceil(retry_after_s)))})
+
+
 class AdminApi:
     """Answers calls about tenants and counters itself, and delegates others by the path's first segment.
 
@@ -121,7 +130,8 @@
     async def read_zone(self, request: HttpRequest, caller: Caller) -> TenantZone | None:
         """Parse the zone that a call brings, outside the event loop; None if it brings none.
 
-        The work is charged to the calling tenant. Raises HttpError if the zone is invalid.
+        The work is charged to the calling tenant. Raises HttpError if the zone is invalid, with status 429 if
+        the tenant's earlier work is not done or not paid.
         """
         match request.path_parts():
             case ["tenants", tenant, "zones", name] if request.method == "PUT":
@@ -135,11 +145,10 @@
         routed = data.get("routed")
         if not isinstance(text, str) or not isinstance(routed, str | None):
             raise HttpError(400, "field 'text' or 'routed' is not a text")
-        caller.charge(len(text) // CHARACTERS_PER_TOKEN)
+        work = partial(read_zone, tenant, name, text, routed)
         with _tenant_errors_as_http():
-            zone = await self.work.do(tenant, partial(read_zone, tenant, name, text, routed))
-        caller.charge(len(zone.text) // CHARACTERS_PER_TOKEN)
-        return zone
+            origin = read_name(name)
+            return await self.work.do(tenant, work, caller.price(origin, text))
 
     # ---- authorization ----------------------------------------------------------------------------------
 
@@ -154,7 +163,8 @@
                 return Caller(None)
             if tenant := self.tenants.tenant_of_token(token):
                 if not tenant.admin_quota.take():
-                    raise HttpError(429, "too many requests", {"Retry-After": "1"})
+                    retry_after_s = tenant.admin_quota.retry_after_s()
+                    raise _rejected_for_now(429, "too many requests", retry_after_s)
                 return Caller(tenant)
         raise HttpError(401, "no valid token", {"WWW-Authenticate": "Bearer"})
 
@@ -262,7 +272,8 @@
 
     def _zone(self, request: HttpRequest, tenant: Tenant, name: str, zone: TenantZone | None) -> Answer:
         _require_method(request, "GET", "PUT", "DELETE")
-        existing = tenant.zones.get(read_name(name))
+        origin = read_name(name)
+        existing = tenant.zones.get(origin)
         if request.method == "PUT":
             assert zone is not None, "`read_zone` returns the zone of each call that puts one"
             self.tenants.add_outermost_zone(zone)
--- a/onyxwick/dns/zone_updates.py
+++ b/onyxwick/dns/zone_updates.py
@@ -1,7 +1,7 @@
 """Applies dynamic updates: to a copy of the zone, in a thread, made durable and then visible.
 
-The updates of one tenant are applied one after the other. What an update costs, the records that it names and
-the names of the zone that is written out, is charged to the zone's tenant.
+The updates of one tenant are applied one after the other. The processor time that they take is charged to the
+tenant's updates, apart from its queries and calls.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 import dns.update
 
 from onyxwick import logs
-from onyxwick.background_work import BackgroundWork
+from onyxwick.background_work import BackgroundWork, Price
 from onyxwick.counters import Counters
 from onyxwick.dns.update import UpdateError, apply_update
 from onyxwick.store.errors import StoreError
@@ -26,8 +26,8 @@
     from onyxwick.store.durable_state import DurableState
 
 log = logs.get()
-RECORDS_PER_TOKEN = 8
-NAMES_PER_TOKEN = 20
+EXPECTED_MS_PER_NAME = 0.002
+"""Expected processor time for each name of an updated zone."""
 
 
 class ZoneUpdates:
@@ -51,8 +51,6 @@
         if not message.had_tsig or message.keyname not in tenant.keys:
             self.counters.add("dns.update.refused")
             return dns.rcode.REFUSED
-        records = len(message.prerequisite) + len(message.update)
-        tenant.quota.charge(records // RECORDS_PER_TOKEN + len(zone.nodes) // NAMES_PER_TOKEN)
         lock = self._locks.setdefault(zone.tenant, asyncio.Lock())
         try:
             async with lock:
@@ -72,7 +70,9 @@
 
         Raises UpdateError if it is rejected, StoreError if it could not be made durable.
         """
-        changed = await self.work.do(zone.tenant, partial(_changed_copy, zone, message))
+        quota = self.tenants.tenants[zone.tenant].update_quota
+        price = Price(quota, str(zone.name), len(zone.nodes) * EXPECTED_MS_PER_NAME)
+        changed = await self.work.do(zone.tenant, partial(_changed_copy, zone, message), price)
         if self.durable is None:
             self._require_current(zone)
             zone.replace_content(changed)
--- a/onyxwick/tenant_errors.py
+++ b/onyxwick/tenant_errors.py
@@ -14,4 +14,8 @@
 
 
 class TooManyCallsError(TenantError):
-    """The tenant has too much work waiting; the call may be repeated later."""
+    """The tenant has too much work waiting or unpaid; the call may be repeated in `retry_after_s` seconds."""
+
+    def __init__(self, message: str, retry_after_s: float) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
--- a/onyxwick/tenants.py
+++ b/onyxwick/tenants.py
@@ -12,6 +12,7 @@
 
 from onyxwick.quota import TokenBucket
 from onyxwick.tenant_errors import AlreadyExistsError, TenantError
+from onyxwick.work_quota import WorkQuota
 from onyxwick.zones import TenantZone, read_name
 
 DEFAULT_QUOTA_PER_S = 500.0
@@ -19,6 +20,10 @@
 MAX_QUOTA_PER_S = 1e6
 ADMIN_REQUESTS_PER_S = 20.0
 """Administration requests per second allowed to each tenant."""
+WORK_MS_PER_S = 500.0
+"""Processor time in ms that each tenant's zones may take of each second, and its updates as well."""
+WORK_BURST_S = 10.0
+"""Work of this many seconds ahead may be done at once, as a tenant puts some large zones in a row."""
 MAX_TENANTS = 16_384
 MAX_ZONES = 32
 """Maximum number of zones of one tenant."""
@@ -43,6 +48,10 @@
         self.token = token
         self.quota = TokenBucket(per_s)
         self.admin_quota = TokenBucket(ADMIN_REQUESTS_PER_S)
+        self.zone_quota = WorkQuota(WORK_MS_PER_S, WORK_BURST_S)
+        """Processor time of reading the zones that calls bring; other calls and queries are apart."""
+        self.update_quota = WorkQuota(WORK_MS_PER_S, WORK_BURST_S)
+        """Processor time of applying updates."""
         self.keys: dict[dns.name.Name, bytes] = {}
         self.zones: dict[dns.name.Name, TenantZone] = {}
 
