SIGHUP reads the service file in the background, as it names zone files

A SIGHUP parsed each zone of the service file in the event loop: for one of 9,500 names the loop stood still for the seconds that `read_service` takes (1.7 s on, arm64), after half a second of which requests are lost.

Change: with a service file, a reload reads both files in a thread that gives way, and applies what it has read in the loop. A request while one is read is played after it, so that the last one wins. Without a service file nothing changes: the director's own file is read at once.

Evidence: `reload_reads_the_service_file_beside_the_event_loop` fails where the file is read in the loop, and `last_of_several_reloads_wins` covers order, errors and retries; tests/test_reload.py is as it was.

--- a/onyxwick/lifecycle.py
+++ b/onyxwick/lifecycle.py
@@ -15,15 +15,11 @@
 import socket
 import time
 from collections.abc import Sequence
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from onyxwick import logs
-from onyxwick.config import ConfigError
-from onyxwick.config import director as director_config
-from onyxwick.config.address import format_address
 from onyxwick.config.director import BYTES_PER_MB, DirectorConfig
-from onyxwick.config.errors import ConfigUnreadableError
+from onyxwick.configuration_reload import Configuration, ConfigurationReload
 from onyxwick.core import RequestEngine
 from onyxwick.core.clock import steady_us
 from onyxwick.core.endpoints import EndpointTable
@@ -47,7 +43,6 @@
     from onyxwick.service import HostedService
 
 log = logs.get()
-SERVICE_FILE = Path(__file__).parents[1] / "deploy" / "service.hcl"
 FEED_SEED = 0xFEED
 """Combined with the director's seed, so that the feed has a separate sequence of random numbers."""
 
@@ -57,9 +52,6 @@
 FULL_GC_INTERVAL_S = 10.0
 """Interval of full garbage collections: closed connections leave reference cycles, which must not accumulate
 over a day."""
-RELOAD_RETRY_DELAY_S = 0.2
-MAX_RELOAD_RETRIES = 50
-"""Number of retries of a reload whose file is temporarily unreadable."""
 
 
 class Director:
@@ -105,7 +97,8 @@
             self.service.ramp_up(self.coordinator, self.cache_pool)
         self.front = self._make_front()
         self.operations = self._make_operations()
-        self._reload_timer: asyncio.TimerHandle | None = None
+        work = self.service.work if self.service is not None else None
+        self.configuration_reload = ConfigurationReload(self.counters, self._apply_reload, work)
 
     def _make_front(self) -> FastCgiFront:
         config = self.config
@@ -322,33 +315,20 @@
         sent_at_s = self.engine.stalls.observe(now_s)
         self.termination.request(sent_at_s, now_s, self.has_inherited_socket)
 
-    def reload(self, retries_left: int = MAX_RELOAD_RETRIES) -> None:
+    def reload(self) -> None:
         """Read the configuration again; an invalid configuration changes nothing.
 
-        If the file is temporarily unreadable, the reload is retried after `RELOAD_RETRY_DELAY_S`. Only the
-        coordinator's address and the plan of cells can change while the director runs; requests and attempts
-        continue.
+        Only the coordinator's address and the plan of cells can change while the director runs; requests and
+        attempts continue.
         """
-        if self._reload_timer is not None:
-            self._reload_timer.cancel()
-        try:
-            config = director_config.load()
-            if self.service is not None:
-                service_config = read_service()
-                self.service.reload(service_config.cell_plan if service_config else None)
-        except ConfigUnreadableError as error:
-            self.counters.add("reload.unreadable")
-            log.warning("configuration not read yet", error=str(error), tries_left=retries_left)
-            if retries_left:
-                loop = asyncio.get_running_loop()
-                self._reload_timer = loop.call_later(RELOAD_RETRY_DELAY_S, self.reload, retries_left - 1)
-        except ConfigError as error:
-            self.counters.add("reload.bad")
-            log.error("configuration kept as it was", error=str(error))
-        else:
-            self.counters.add("reload.read")
-            log.info("configuration read again", coordinator=format_address(config.coordinator))
-            self.coordinator.set_address(config.coordinator)
+        self.configuration_reload.request()
+
+    def _apply_reload(self, configuration: Configuration) -> None:
+        """Apply what may change. Raises ConfigError if the plan of cells cannot be used."""
+        if self.service is not None:
+            service_config = configuration.service
+            self.service.reload(service_config.cell_plan if service_config else None)
+        self.coordinator.set_address(configuration.director.coordinator)
 
     def print_counters(self) -> None:
         """Print all counters on standard output."""
@@ -370,17 +350,3 @@
     from onyxwick.service import HostedService
 
     return HostedService(config, service_config)
-
-
-def read_service() -> ServiceConfig | None:
-    """Return the service file's configuration, or None if the file does not exist.
-
-    The environment variable `ONYXWICK_SERVICE` overrides the default path. Raises ConfigError if the file is
-    invalid.
-    """
-    path = Path(os.environ.get("ONYXWICK_SERVICE") or SERVICE_FILE)
-    if not path.exists():
-        return None
-    from onyxwick.config.service import load
-
-    return load(path)
--- a/onyxwick/start.py
+++ b/onyxwick/start.py
@@ -8,22 +8,18 @@
 import sys
 import time
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, NamedTuple, NoReturn
+from typing import NoReturn
 
 import uvloop
 
 from onyxwick import logs
 from onyxwick.config import ConfigError
-from onyxwick.config import director as director_config
-from onyxwick.config.director import DirectorConfig
 from onyxwick.config.errors import ConfigUnreadableError
+from onyxwick.configuration_reload import Configuration, read_configuration
 from onyxwick.core.errors import StartupError
-from onyxwick.lifecycle import Director, read_service
+from onyxwick.lifecycle import Director
 from onyxwick.net import listening
 
-if TYPE_CHECKING:
-    from onyxwick.config.service import ServiceConfig
-
 log = logs.get()
 READ_RETRY_DELAY_S = 0.1
 READ_ATTEMPTS = 50
@@ -32,11 +28,6 @@
 EXIT_FAILED = 1
 
 
-class _Configuration(NamedTuple):
-    director: DirectorConfig
-    service: ServiceConfig | None
-
-
 def main(early_signals: Sequence[int] = ()) -> int:
     """Run one director, configured by RELAY_CONFIG, RELAY_LISTEN, RELAY_NAME and RELAY_LISTEN_FD.
 
@@ -64,15 +55,15 @@
     return 0
 
 
-def _read_with_retries() -> _Configuration:
+def _read_with_retries() -> Configuration:
     """Return the configuration. Raises ConfigError if it is invalid, or unreadable in all attempts."""
     for _ in range(READ_ATTEMPTS):
         try:
-            return _Configuration(director_config.load(), read_service())
+            return read_configuration()
         except ConfigUnreadableError as error:
             log.warning("configuration not read yet", error=str(error))
             time.sleep(READ_RETRY_DELAY_S)
-    return _Configuration(director_config.load(), read_service())
+    return read_configuration()
 
 
 def _exit() -> NoReturn:
@@ -85,13 +76,13 @@
 
 
 async def _run(
-    configuration: _Configuration, inherited_socket: socket.socket | None, early_signals: Sequence[int]
+    configuration: Configuration, inherited_socket: socket.socket | None, early_signals: Sequence[int]
 ) -> None:
     director = _make_director(configuration)
     await director.run(inherited_socket, early_signals)
 
 
-def _make_director(configuration: _Configuration) -> Director:
+def _make_director(configuration: Configuration) -> Director:
     config, service = configuration
     if service is None or service.store is None:
         return Director(config, service)
--- a/tests/test_accepted_changes.py
+++ b/tests/test_accepted_changes.py
@@ -20,9 +20,15 @@
 import dns.rcode
 import pytest
 
+from onyxwick import configuration_reload
 from onyxwick.admin.api import AdminApi
 from onyxwick.admin.http_messages import HttpError, HttpRequest
 from onyxwick.background_work import MAX_WAITING, BackgroundWork, Price
+from onyxwick.config import ConfigError
+from onyxwick.config.director import DirectorConfig
+from onyxwick.config.errors import ConfigUnreadableError
+from onyxwick.config.service import ServiceConfig
+from onyxwick.configuration_reload import Configuration, ConfigurationReload
 from onyxwick.counters import Counters
 from onyxwick.dns.query_handler import QueryHandler
 from onyxwick.dns.routed_names import RoutedNames
@@ -403,3 +409,80 @@
         assert given_s < kept_s / 2
 
     asyncio.run(scenario())
+
+
+# ---- (c) reloads ----------------------------------------------------------------------------------------
+
+
+class _Reloads:
+    """Reads configurations that a test makes, and records what is applied."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, read: Callable[[], object]) -> None:
+        self.applied = list[object]()
+        self.counters = Counters()
+        director = SimpleNamespace(coordinator=("127.0.0.1", 1))
+        monkeypatch.setattr(
+            configuration_reload,
+            "read_configuration",
+            lambda: Configuration(cast(DirectorConfig, director), cast(ServiceConfig, read())),
+        )
+        self.reload = ConfigurationReload(
+            self.counters, lambda configuration: self.applied.append(configuration.service), BackgroundWork()
+        )
+
+    async def until_applied(self, value: object) -> None:
+        async with asyncio.timeout(10.0):
+            while self.applied[-1:] != [value]:
+                await asyncio.sleep(0.001)
+
+
+# Guards against: a reload in whose reading of zone files the event loop stands still for seconds.
+def test_a_reload_reads_the_service_file_beside_the_event_loop(monkeypatch: pytest.MonkeyPatch) -> None:
+    text = _zone_text(9_500)
+
+    def read() -> str:
+        return str(read_zone("yards", "a.example.", text).name)
+
+    async def scenario() -> None:
+        reloads, longest_s = _Reloads(monkeypatch, read), 0.0
+        reloads.reload.request()
+        before_s = time.monotonic()
+        while not reloads.applied:
+            await asyncio.sleep(0.001)
+            longest_s, before_s = max(longest_s, time.monotonic() - before_s), time.monotonic()
+        assert reloads.applied == ["a.example."] and longest_s < MAX_GAP_S
+
+    asyncio.run(scenario())
+
+
+def test_the_last_of_several_reloads_wins_and_a_bad_one_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(configuration_reload, "RETRY_DELAY_S", 0.01)
+    files: list[object] = ["first"]
+
+    def read() -> object:
+        found = files[-1]
+        time.sleep(0.01)
+        if isinstance(found, ConfigError):
+            files.append("after the error")
+            raise found
+        return found
+
+    async def scenario() -> None:
+        reloads = _Reloads(monkeypatch, read)
+        reloads.reload.request()
+        await asyncio.sleep(0.002)
+        files.append("second")
+        reloads.reload.request()
+        await reloads.until_applied("second")
+        files.append(ConfigError("no plan"))
+        reloads.reload.request()
+        while not reloads.counters.counts.get("reload.bad"):
+            await asyncio.sleep(0.001)
+        assert reloads.applied[-1] == "second"
+        files.append(ConfigUnreadableError("no descriptor"))
+        reloads.reload.request()
+        await reloads.until_applied("after the error")
+
+    asyncio.run(scenario())
--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -21,6 +21,7 @@
     "onyxwick.config.address",
     "onyxwick.config.errors",
     "onyxwick.config.director",
+    "onyxwick.configuration_reload",
     "onyxwick.core",
     "onyxwick.core.clock",
     "onyxwick.core.feed_freshness",
