--- a/tests/hosted_soak.py
+++ b/tests/hosted_soak.py
@@ -21,6 +21,8 @@
 import random
 import secrets
 import signal
+import socket
+import struct
 import sys
 import tempfile
 import threading
@@ -238,13 +240,22 @@
         keyring = dns.tsigkeyring.from_text({f"{tenant}.": SECRET})
         message = dns.update.UpdateMessage(zone, keyring=keyring)
         message.add(f"u{self.rng.randrange(20)}", 60, "A", f"127.2.0.{self.rng.randrange(250)}")
-        answer = dns.query.tcp(message, self.dns_address[0], CALL_TIMEOUT_S, self.dns_address[1])
-        self.findings.count(f"update {dns.rcode.to_text(answer.rcode())}")
-        if answer.rcode() == dns.rcode.NOERROR:
+        rcode = self._update_rcode(message.to_wire())
+        self.findings.count(f"update {dns.rcode.to_text(rcode)}")
+        if rcode == dns.rcode.NOERROR:
             shown = self._call("GET", tenant, zone, 200)
             self.serials[tenant, zone] = int(str(shown.data.get("serial", 0)))
-        elif answer.rcode() != dns.rcode.SERVFAIL:
-            self.findings.broken.append(f"update of {zone}: {answer.rcode()!r}")
+        elif rcode != dns.rcode.SERVFAIL:
+            self.findings.broken.append(f"update of {zone}: {rcode!r}")
+
+    def _update_rcode(self, wire: bytes) -> dns.rcode.Rcode:
+        """Send an update over TCP; the answer to one that is rejected unread has no signature."""
+        with socket.create_connection(self.dns_address, CALL_TIMEOUT_S) as sock:
+            sock.sendall(struct.pack(">H", len(wire)) + wire)
+            with sock.makefile("rb") as stream:
+                size = struct.unpack(">H", stream.read(2))[0]
+                flags = struct.unpack(">HH", stream.read(size)[:4])[1]
+        return dns.rcode.from_flags(flags, 0)
 
     def _ask(self) -> None:
         if self.serials:
